--- /dev/null
+++ b/packages/cli/src/sardineroute/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of sardineroute."""
--- /dev/null
+++ b/packages/core/src/sardineroute_core/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes of sardineroute share."""
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of sardineroute."""
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: admits, queues and dispatches jobs."""
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: guards and runs tasks beside one backend server."""
--- /dev/null
+++ b/packages/standins/src/sardineroute_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around sardineroute; not shipped."""
