--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pathlib
 
 import pytest
+
 from sardineroute_core import settings
 
 ENTRY = """
