--- /dev/null
+++ b/packages/core/src/sardineroute_core/metrics.py
@@ -0,0 +1,41 @@
+"""Metrics that every role has, and their exposition."""
+
+import prometheus_client
+
+_MESSAGES = prometheus_client.Counter(
+    "sardineroute_messages",
+    "Messages between the daemon's processes.",
+    ["direction", "type"],
+)
+_BYTES = prometheus_client.Counter(
+    "sardineroute_message_bytes",
+    "Bytes of the messages sent to the daemon's other processes.",
+    ["type"],
+)
+_children_by_label: dict[tuple[str, str], prometheus_client.Counter] = {}
+_bytes_by_type: dict[str, prometheus_client.Counter] = {}
+
+
+def count_message(direction: str, name: str, size_bytes: int) -> None:
+    """Counts one message; `direction` is `in` or `out`."""
+    label = (direction, name)
+    child = _children_by_label.get(label)
+    if child is None:
+        child = _MESSAGES.labels(direction, name)
+        _children_by_label[label] = child
+    child.inc()
+    if size_bytes:
+        _count_bytes(name, size_bytes)
+
+
+def exposition() -> bytes:
+    """Returns all metrics in the Prometheus text format."""
+    return prometheus_client.generate_latest()
+
+
+def _count_bytes(name: str, size_bytes: int) -> None:
+    child = _bytes_by_type.get(name)
+    if child is None:
+        child = _BYTES.labels(name)
+        _bytes_by_type[name] = child
+    child.inc(size_bytes)
--- /dev/null
+++ b/packages/core/src/sardineroute_core/platformlog.py
@@ -0,0 +1,173 @@
+"""Client of the platform's log service: appends, reads and tails."""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import NoReturn
+
+import urllib3
+
+from sardineroute_core import settings
+
+READ_LIMIT = 1_000
+LONG_POLL_MS = 2_000
+_RETRY_MIN_MS = 50
+_RETRY_MAX_MS = 1_000
+_THREADS = 8
+
+
+class LogUnavailable(Exception):
+    """Raised when the log refused, or was not reached: nothing was done."""
+
+
+class AppendUnknown(Exception):
+    """Raised when an append may or may not have taken effect."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One record of a stream; `data` is JSON, `id` the writer's own."""
+
+    offset: int
+    id: str
+    data: Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Batch:
+    """What a read returned.
+
+    Attributes:
+        first: The oldest offset that the log still keeps.
+        next: The offset to read from next.
+        records: The records in log order.
+    """
+
+    first: int
+    next: int
+    records: tuple[Record, ...]
+
+
+class PlatformLog:
+    """Talks to the log service from a few threads of its own."""
+
+    def __init__(self, options: settings.Log) -> None:
+        self._url = options.url.rstrip("/")
+        self._timeout_ms = options.timeout_ms
+        self._pool = urllib3.PoolManager(
+            maxsize=_THREADS, retries=False, block=False
+        )
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            _THREADS, thread_name_prefix="log"
+        )
+
+    async def append(self, stream: str, record_id: str, data: Any) -> int:
+        """Appends a record and returns its offset.
+
+        Raises:
+            LogUnavailable: The record was not appended.
+            AppendUnknown: The answer was lost; read back for `record_id`.
+        """
+        offset: int = await self._run(self._append, stream, record_id, data)
+        return offset
+
+    async def read(self, stream: str, offset: int, wait_ms: int) -> Batch:
+        """Returns the records from `offset` on, waiting for a first one.
+
+        Raises:
+            LogUnavailable: The log gave no answer.
+        """
+        batch: Batch = await self._run(self._read, stream, offset, wait_ms)
+        return batch
+
+    def close(self) -> None:
+        """Abandons calls in flight."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    async def _run(self, call: Callable[..., Any], *args: Any) -> Any:
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._executor, call, *args)
+
+    def _append(self, stream: str, record_id: str, data: Any) -> int:
+        try:
+            response = self._pool.request(
+                "POST",
+                f"{self._url}/v1/streams/{stream}/records",
+                json={"id": record_id, "data": data},
+                timeout=self._timeout_ms / 1_000,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            _raise_append_error(error)
+        if response.status != 200:
+            raise LogUnavailable(f"the log answered {response.status}")
+        return int(response.json()["offset"])
+
+    def _read(self, stream: str, offset: int, wait_ms: int) -> Batch:
+        try:
+            response = self._pool.request(
+                "GET",
+                f"{self._url}/v1/streams/{stream}/records",
+                fields={
+                    "from": str(offset),
+                    "limit": str(READ_LIMIT),
+                    "wait_ms": str(wait_ms),
+                },
+                timeout=(self._timeout_ms + wait_ms) / 1_000,
+            )
+            if response.status != 200:
+                raise LogUnavailable(f"the log answered {response.status}")
+            return _batch(response.json())
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise LogUnavailable(str(error)) from error
+
+
+async def follow(
+    log: PlatformLog,
+    stream: str,
+    handle: Callable[[Batch], Awaitable[None]],
+    long_poll_ms: int = LONG_POLL_MS,
+) -> NoReturn:
+    """Reads a stream from its start, for ever, through outages of the log.
+
+    Args:
+        log: The log service.
+        stream: The stream's name.
+        handle: Gets each batch in order, also empty ones.
+        long_poll_ms: How long the log may hold a read with no records.
+    """
+    offset = 0
+    wait_ms = 0
+    retry_ms = _RETRY_MIN_MS
+    while True:
+        try:
+            batch = await log.read(stream, offset, wait_ms)
+        except LogUnavailable:
+            await asyncio.sleep(random.uniform(0.5, 1.0) * retry_ms / 1_000)
+            retry_ms = min(retry_ms * 2, _RETRY_MAX_MS)
+            continue
+        retry_ms = _RETRY_MIN_MS
+        wait_ms = long_poll_ms
+        offset = batch.next
+        await handle(batch)
+
+
+def _raise_append_error(error: urllib3.exceptions.HTTPError) -> NoReturn:
+    refused = (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    )
+    if isinstance(error, refused):
+        raise LogUnavailable(str(error)) from error
+    raise AppendUnknown(str(error)) from error
+
+
+def _batch(document: Any) -> Batch:
+    records = tuple(
+        Record(int(item["offset"]), str(item["id"]), item["data"])
+        for item in document["records"]
+    )
+    return Batch(int(document["first"]), int(document["next"]), records)
--- /dev/null
+++ b/packages/core/src/sardineroute_core/streams.py
@@ -0,0 +1,308 @@
+"""Authenticated msgpack streams between the daemon's processes.
+
+Both sides prove that they hold the shared secret before any other message
+passes. TLS is added where the settings name certificate files.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import hmac
+import os
+import ssl
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+
+from sardineroute_core import clock
+from sardineroute_core import messages
+from sardineroute_core import metrics
+from sardineroute_core import settings
+
+_READ_BYTES = 262_144
+_NONCE_BYTES = 16
+
+
+class ConnectionLost(Exception):
+    """Raised when a stream is closed, broken, or not a peer's."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """What a process tells of itself when a stream opens."""
+
+    id: str
+    role: messages.Role
+    incarnation: str
+
+
+class Connection:
+    """One open stream.
+
+    Attributes:
+        peer: The identity that the other side has proved.
+        peer_tick_ms: The accepting side's monotonic time at the opening.
+        last_received_ms: When the last bytes arrived, in our own time.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        time: clock.Clock,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._clock = time
+        self._unpacker = messages.unpacker()
+        self._outgoing: list[bytes] = []
+        self.peer = Identity("", messages.Role.ENTRY, "")
+        self.peer_tick_ms = 0
+        self.last_received_ms = time.now_ms()
+
+    @property
+    def closed(self) -> bool:
+        """Returns whether the stream can no longer be written."""
+        return self._writer.is_closing()
+
+    def send(self, message: Any) -> None:
+        """Queues a message; those of one loop iteration go out together.
+
+        A message to a closed stream is dropped: the reader of that stream
+        finds it closed and decides what becomes of what was sent.
+        """
+        if self.closed:
+            return
+        if not self._outgoing:
+            asyncio.get_running_loop().call_soon(self._flush)
+        payload = messages.encode(message)
+        metrics.count_message("out", type(message).__name__, len(payload))
+        self._outgoing.append(payload)
+
+    async def receive(self) -> AsyncIterator[Any]:
+        """Yields the messages as they arrive, until the stream is closed."""
+        while True:
+            for message in self._decoded():
+                yield message
+            await self._fill()
+
+    async def receive_one(self) -> Any:
+        """Returns the next message.
+
+        Raises:
+            ConnectionLost: The stream was closed before one arrived.
+        """
+        while True:
+            for message in self._decoded():
+                return message
+            await self._fill()
+
+    async def drained(self) -> None:
+        """Waits until what was sent has left this process."""
+        self._flush()
+        with contextlib.suppress(OSError):
+            await self._writer.drain()
+
+    def close(self) -> None:
+        """Closes the stream after sending what was queued."""
+        self._flush()
+        self._writer.close()
+
+    def abort(self) -> None:
+        """Closes the stream at once and drops what was not yet sent."""
+        self._outgoing.clear()
+        self._writer.transport.abort()
+
+    def _flush(self) -> None:
+        if self._outgoing and not self.closed:
+            self._writer.write(b"".join(self._outgoing))
+        self._outgoing.clear()
+
+    def _decoded(self) -> Any:
+        try:
+            for message in self._unpacker:
+                name = type(message).__name__
+                metrics.count_message("in", name, 0)
+                yield message
+        except (
+            messages.MalformedMessage,
+            msgpack.UnpackException,
+            ValueError,
+        ) as error:
+            self._writer.close()
+            raise ConnectionLost(f"malformed message: {error}") from error
+
+    async def _fill(self) -> None:
+        try:
+            data = await self._reader.read(_READ_BYTES)
+        except OSError as error:
+            raise ConnectionLost(str(error)) from error
+        if not data:
+            raise ConnectionLost("closed by peer")
+        self.last_received_ms = self._clock.now_ms()
+        self._unpacker.feed(data)
+
+
+Handler = Callable[[Connection], Awaitable[None]]
+
+
+async def connect(
+    address: settings.Address,
+    options: settings.Streams,
+    identity: Identity,
+    time: clock.Clock,
+) -> Connection:
+    """Returns an authenticated stream to the process at `address`.
+
+    Raises:
+        ConnectionLost: No peer answered there within the connect timeout.
+    """
+    try:
+        async with asyncio.timeout(options.connect_timeout_ms / 1_000):
+            reader, writer = await asyncio.open_connection(
+                address.hostname,
+                address.port,
+                ssl=_client_tls(options.tls),
+                server_hostname=address.hostname if options.tls else None,
+            )
+            connection = Connection(reader, writer, time)
+            await _prove_to_server(connection, options.secret, identity)
+            return connection
+    except (TimeoutError, OSError) as error:
+        raise ConnectionLost(f"can't connect: {error!r}") from error
+
+
+async def serve(
+    options: settings.Streams,
+    identity: Identity,
+    time: clock.Clock,
+    handle: Handler,
+) -> asyncio.Server:
+    """Accepts streams and runs `handle` as one task for each.
+
+    A connection that doesn't prove itself is closed before `handle` sees it.
+    """
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = Connection(reader, writer, time)
+        try:
+            async with asyncio.timeout(options.connect_timeout_ms / 1_000):
+                await _prove_to_client(
+                    connection, options.secret, identity, time
+                )
+            await handle(connection)
+        except (ConnectionLost, TimeoutError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(
+        accept,
+        options.listen.hostname,
+        options.listen.port,
+        backlog=1_024,
+        ssl=_server_tls(options.tls),
+    )
+
+
+async def _prove_to_server(
+    connection: Connection, secret: str, identity: Identity
+) -> None:
+    challenge = await connection.receive_one()
+    if not isinstance(challenge, messages.Challenge):
+        raise ConnectionLost("the peer sent no challenge")
+    nonce = os.urandom(_NONCE_BYTES)
+    connection.send(
+        messages.Hello(
+            identity.id,
+            identity.role.value,
+            identity.incarnation,
+            nonce,
+            _mac(secret, b"connecting", challenge.nonce, nonce, identity),
+        )
+    )
+    welcome = await connection.receive_one()
+    if not isinstance(welcome, messages.Welcome):
+        raise ConnectionLost("the peer sent no welcome")
+    peer = _identity_of(welcome)
+    expected = _mac(secret, b"accepting", challenge.nonce, nonce, peer)
+    if not hmac.compare_digest(welcome.mac, expected):
+        connection.close()
+        raise ConnectionLost("the peer doesn't hold the shared secret")
+    connection.peer = peer
+    connection.peer_tick_ms = welcome.tick_ms
+
+
+async def _prove_to_client(
+    connection: Connection,
+    secret: str,
+    identity: Identity,
+    time: clock.Clock,
+) -> None:
+    nonce = os.urandom(_NONCE_BYTES)
+    connection.send(messages.Challenge(nonce))
+    hello = await connection.receive_one()
+    if not isinstance(hello, messages.Hello):
+        raise ConnectionLost("the peer sent no hello")
+    peer = _identity_of(hello)
+    expected = _mac(secret, b"connecting", nonce, hello.nonce, peer)
+    if not hmac.compare_digest(hello.mac, expected):
+        raise ConnectionLost("the peer doesn't hold the shared secret")
+    connection.peer = peer
+    connection.send(
+        messages.Welcome(
+            identity.id,
+            identity.role.value,
+            identity.incarnation,
+            _mac(secret, b"accepting", nonce, hello.nonce, identity),
+            time.now_ms(),
+        )
+    )
+
+
+def _identity_of(hello: messages.Hello | messages.Welcome) -> Identity:
+    try:
+        role = messages.Role(hello.role)
+    except ValueError as error:
+        raise ConnectionLost(f"unknown role {hello.role!r}") from error
+    return Identity(hello.id, role, hello.incarnation)
+
+
+def _mac(
+    secret: str,
+    side: bytes,
+    server_nonce: bytes,
+    client_nonce: bytes,
+    identity: Identity,
+) -> bytes:
+    text = "\0".join([identity.id, identity.role.value, identity.incarnation])
+    parts = [side, server_nonce, client_nonce, text.encode()]
+    return hmac.digest(secret.encode(), b"\0".join(parts), hashlib.sha256)
+
+
+def _client_tls(tls: settings.Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(cafile=str(tls.authority))
+    context.load_cert_chain(str(tls.certificate), str(tls.key))
+    # Peers are named by IP address and prove themselves by the authority's
+    # signature and the shared secret, not by a host name.
+    context.check_hostname = False
+    return context
+
+
+def _server_tls(tls: settings.Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(
+        ssl.Purpose.CLIENT_AUTH, cafile=str(tls.authority)
+    )
+    context.load_cert_chain(str(tls.certificate), str(tls.key))
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -0,0 +1,162 @@
+"""Jobs and their tasks at the home entry, and how a job ends."""
+
+import asyncio
+import dataclasses
+import enum
+
+from sardineroute_core import errors
+from sardineroute_core import ids
+from sardineroute_core import messages
+
+
+class State(enum.StrEnum):
+    """Where a job stands, as callers see it."""
+
+    RUNNING = "running"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELED = "canceled"
+
+
+class Phase(enum.Enum):
+    """Where a task stands, as its home entry knows it."""
+
+    QUEUED = "queued"
+    SENT = "sent"
+    ANSWERED = "answered"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Submission:
+    """A job as its caller submitted it.
+
+    `tasks` are JSON texts; `digest` tells the body from another one.
+    """
+
+    team: str
+    key: str
+    digest: bytes
+    kind: str
+    tasks: tuple[bytes, ...]
+    timeout_ms: int
+    traceparent: str
+
+    @property
+    def job_id(self) -> str:
+        """Returns the id of the job."""
+        return ids.job_id(self.team, self.key)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """One task of a job, with what is known of it."""
+
+    id: str
+    index: int
+    job: "Job"
+    payload: bytes
+    phase: Phase = Phase.QUEUED
+    server_id: str = ""
+    body: bytes = b""
+    sent_ms: int = 0
+    excluded_server_ids: frozenset[str] = frozenset()
+
+
+class Job:
+    """A job at its home entry.
+
+    Attributes:
+        submission: What the caller submitted.
+        tasks: The tasks in the caller's order.
+        tasks_by_id: The same tasks by id.
+        deadline_ms: When the caller's timeout ends, in the entry's time.
+        state: Where the job stands.
+        failure: Why the job has failed or was canceled.
+        ended: Completes when the job is no longer running.
+    """
+
+    def __init__(self, submission: Submission, deadline_ms: int) -> None:
+        self.submission = submission
+        self.id = submission.job_id
+        self.deadline_ms = deadline_ms
+        self.tasks = [
+            Task(ids.task_id(self.id, index), index, self, payload)
+            for index, payload in enumerate(submission.tasks)
+        ]
+        self.tasks_by_id = {task.id: task for task in self.tasks}
+        self.state = State.RUNNING
+        self.failure: errors.Error | None = None
+        self.ended: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.ended_ms = 0
+        self._open_tasks = len(self.tasks)
+
+    def answer(self, task: Task, body: bytes) -> None:
+        """Keeps a task's answer; the last one completes the job."""
+        task.phase = Phase.ANSWERED
+        task.body = body
+        self._open_tasks -= 1
+        if self._open_tasks == 0 and self.state is State.RUNNING:
+            self.state = State.COMPLETE
+            self.ended.set_result(None)
+
+    def fail(self, kind: errors.Kind, detail: str) -> None:
+        """Ends the job without answers; `ran` comes from its tasks."""
+        if self.state is not State.RUNNING:
+            return
+        self.state = State.FAILED
+        if kind is errors.Kind.CANCELED:
+            self.state = State.CANCELED
+        self.failure = errors.Error(kind, detail, derive_ran(self.tasks))
+        self.ended.set_result(None)
+
+    def answers(self) -> tuple[bytes, ...]:
+        """Returns the answers in task order; only for a complete job."""
+        if self.state is not State.COMPLETE:
+            raise ValueError("the job is not complete")
+        return tuple(task.body for task in self.tasks)
+
+
+def derive_ran(tasks: list[Task]) -> errors.Ran:
+    """Returns what is known of a job's tasks: the one place that says it."""
+    phases = {task.phase for task in tasks}
+    if phases & {Phase.ANSWERED, Phase.FAILED}:
+        return errors.Ran.YES
+    if phases & {Phase.SENT, Phase.UNKNOWN}:
+        return errors.Ran.UNKNOWN
+    return errors.Ran.NO
+
+
+def to_outcome(job: Job, request_id: int) -> messages.Outcome:
+    """Returns the message that tells a peer where a job stands."""
+    failure = job.failure
+    complete = job.state is State.COMPLETE
+    return messages.Outcome(
+        id=request_id,
+        job=job.id,
+        state=job.state.value,
+        answers=job.answers() if complete else (),
+        code=failure.kind.value if failure else "",
+        ran=failure.ran.value if failure else "",
+        detail=failure.detail if failure else "",
+        retry_after_ms=failure.retry_after_ms if failure else 0,
+    )
+
+
+def to_error_outcome(
+    job_id: str, error: errors.Error, request_id: int
+) -> messages.Outcome:
+    """Returns the message that tells a peer of a refusal."""
+    return messages.Outcome(
+        id=request_id,
+        job=job_id,
+        state=State.FAILED.value,
+        answers=(),
+        code=error.kind.value,
+        ran=error.ran.value,
+        detail=error.detail,
+        retry_after_ms=error.retry_after_ms,
+    )
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/links.py
@@ -0,0 +1,119 @@
+"""The stream to each sidecar: one task that connects, reads and asks."""
+
+import asyncio
+
+from sardineroute_core import clock
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardinerouted.entry import backends
+from sardinerouted.entry import dispatch
+from sardinerouted.entry import ownership
+
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 2_000
+
+_log = logs.part("links")
+
+
+async def run_link(
+    server: backends.BackendServer,
+    options: settings.Streams,
+    identity: streams.Identity,
+    time: clock.Clock,
+    owned: ownership.Ownership,
+    dispatcher: dispatch.Dispatcher,
+) -> None:
+    """Keeps a stream to one sidecar until the task is canceled."""
+    address = settings.Address.model_validate(
+        {"host": server.announcement.host, "port": server.announcement.port}
+    )
+    retry_ms = _RECONNECT_MIN_MS
+    while True:
+        try:
+            connection = await streams.connect(address, options, identity, time)
+        except streams.ConnectionLost:
+            await asyncio.sleep(retry_ms / 1_000)
+            retry_ms = min(retry_ms * 2, _RECONNECT_MAX_MS)
+            continue
+        retry_ms = _RECONNECT_MIN_MS
+        await _serve(server, connection, owned, dispatcher)
+
+
+async def watch_silence(
+    servers_by_id: dict[str, backends.BackendServer],
+    silence_ms: int,
+    time: clock.Clock,
+) -> None:
+    """Closes streams that stay silent while an answer is awaited.
+
+    A stream silent for `silence_ms` gets a ping; one that stays silent for as
+    long again is closed, and its tasks are asked after on a new one.
+    """
+    while True:
+        await asyncio.sleep(silence_ms / 4_000)
+        now_ms = time.now_ms()
+        for server in list(servers_by_id.values()):
+            _check_silence(server, silence_ms, now_ms)
+
+
+def _check_silence(
+    server: backends.BackendServer, silence_ms: int, now_ms: int
+) -> None:
+    connection = server.connection
+    if connection is None or not server.tasks_by_id:
+        return
+    oldest_ms = min(task.sent_ms for task in server.tasks_by_id.values())
+    quiet_ms = now_ms - max(oldest_ms, connection.last_received_ms)
+    if quiet_ms > 2 * silence_ms:
+        _log.warning("A stream went silent.", worker=server.id)
+        connection.abort()
+    elif quiet_ms > silence_ms:
+        connection.send(messages.Ping(now_ms))
+
+
+async def _serve(
+    server: backends.BackendServer,
+    connection: streams.Connection,
+    owned: ownership.Ownership,
+    dispatcher: dispatch.Dispatcher,
+) -> None:
+    if connection.peer.incarnation != server.announcement.incarnation:
+        # The sidecar has restarted and its new announcement is on its way.
+        dispatcher.lose(server)
+    server.connected(connection)
+    _ask_after_tasks(server, connection, owned)
+    dispatcher.pump()
+    try:
+        async for message in connection.receive():
+            _take(server, dispatcher, message)
+    except streams.ConnectionLost as error:
+        _log.warning("A stream was lost.", worker=server.id, why=str(error))
+    finally:
+        server.disconnected()
+
+
+def _ask_after_tasks(
+    server: backends.BackendServer,
+    connection: streams.Connection,
+    owned: ownership.Ownership,
+) -> None:
+    for task in server.tasks_by_id.values():
+        grant = owned.grant_of(task.job.id)
+        if grant is not None:
+            ask = messages.Ask((task.id,), grant.partition, grant.epoch)
+            connection.send(ask)
+
+
+def _take(
+    server: backends.BackendServer,
+    dispatcher: dispatch.Dispatcher,
+    message: object,
+) -> None:
+    if isinstance(message, messages.Result | messages.Running):
+        dispatcher.take(server, message)
+    elif isinstance(message, messages.Pong):
+        server.observe_tick(message.tick_ms)
+    elif isinstance(message, messages.Leaving):
+        server.leaving = True
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/peers.py
@@ -0,0 +1,137 @@
+"""Streams between entries: calls to a home entry, and serving them."""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from sardineroute_core import clock
+from sardineroute_core import messages
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardinerouted import membership
+
+
+class Peer:
+    """The stream to one other entry, opened when a call needs it."""
+
+    def __init__(
+        self,
+        announcement: membership.Announcement,
+        options: settings.Streams,
+        identity: streams.Identity,
+        time: clock.Clock,
+    ) -> None:
+        self.announcement = announcement
+        self._options = options
+        self._identity = identity
+        self._clock = time
+        self._connection: streams.Connection | None = None
+        self._opening = asyncio.Lock()
+        self._reader: asyncio.Task[None] | None = None
+        self._ids = itertools.count(1)
+        self._answers_by_id: dict[int, asyncio.Future[messages.Outcome]] = {}
+
+    async def call(self, request: Any) -> messages.Outcome:
+        """Returns the peer's answer to a `Submit`, `Lookup` or `Cancel`.
+
+        Raises:
+            ConnectionLost: The stream broke; the request may have arrived.
+        """
+        connection = await self._open()
+        request_id = next(self._ids)
+        answer: asyncio.Future[messages.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._answers_by_id[request_id] = answer
+        try:
+            connection.send(dataclasses.replace(request, id=request_id))
+            return await self._wait(connection, answer)
+        finally:
+            self._answers_by_id.pop(request_id, None)
+
+    def close(self) -> None:
+        """Closes the stream; calls in flight fail."""
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _wait(
+        self,
+        connection: streams.Connection,
+        answer: asyncio.Future[messages.Outcome],
+    ) -> messages.Outcome:
+        # A silent stream is noticed only while an answer is awaited.
+        silence_ms = self._options.silence_ms
+        asked_ms = self._clock.now_ms()
+        while not answer.done():
+            await asyncio.wait([answer], timeout=silence_ms / 1_000)
+            heard_ms = max(asked_ms, connection.last_received_ms)
+            quiet_ms = self._clock.now_ms() - heard_ms
+            if answer.done() or quiet_ms < silence_ms:
+                continue
+            if quiet_ms >= 2 * silence_ms:
+                connection.abort()
+                raise streams.ConnectionLost("the peer went silent")
+            connection.send(messages.Ping(asked_ms))
+        return answer.result()
+
+    async def _open(self) -> streams.Connection:
+        async with self._opening:
+            if self._connection is None or self._connection.closed:
+                address = settings.Address.model_validate(
+                    {
+                        "host": self.announcement.host,
+                        "port": self.announcement.port,
+                    }
+                )
+                self._connection = await streams.connect(
+                    address, self._options, self._identity, self._clock
+                )
+                self._reader = asyncio.create_task(self._read(self._connection))
+            return self._connection
+
+    async def _read(self, connection: streams.Connection) -> None:
+        lost = streams.ConnectionLost("closed")
+        try:
+            async for message in connection.receive():
+                if isinstance(message, messages.Outcome):
+                    answer = self._answers_by_id.get(message.id)
+                    if answer is not None and not answer.done():
+                        answer.set_result(message)
+        except streams.ConnectionLost as error:
+            lost = error
+        finally:
+            connection.abort()
+            if self._connection is connection:
+                self._connection = None
+                for answer in self._answers_by_id.values():
+                    if not answer.done():
+                        answer.set_exception(lost)
+
+
+async def serve_peer(
+    connection: streams.Connection,
+    time: clock.Clock,
+    execute: Callable[[Any], Awaitable[messages.Outcome]],
+) -> None:
+    """Answers one peer's calls until its stream is closed.
+
+    Each call runs as a task of its own, so that a long job holds up no other
+    call; it goes on when the stream breaks.
+    """
+    calls: set[asyncio.Task[None]] = set()
+
+    async def answer(request: Any) -> None:
+        connection.send(await execute(request))
+
+    async for message in connection.receive():
+        if isinstance(message, messages.Ping):
+            connection.send(messages.Pong(message.id, time.now_ms()))
+        elif isinstance(
+            message, messages.Submit | messages.Lookup | messages.Cancel
+        ):
+            call = asyncio.create_task(answer(message))
+            calls.add(call)
+            call.add_done_callback(calls.discard)
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -0,0 +1,139 @@
+"""The entry process: starts its parts, and stops them in order."""
+
+import asyncio
+
+from sardineroute_core import clock
+from sardineroute_core import ids
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardineroute_core import platformlog
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardinerouted import httpd
+from sardinerouted import membership
+from sardinerouted import signals
+from sardinerouted.entry import backends
+from sardinerouted.entry import calls
+from sardinerouted.entry import dispatch
+from sardinerouted.entry import front
+from sardinerouted.entry import jobs
+from sardinerouted.entry import links
+from sardinerouted.entry import ownership
+from sardinerouted.entry import peers
+from sardinerouted.entry import roster
+from sardinerouted.entry import state as entry_state
+
+_log = logs.part("entry")
+
+
+def run(options: settings.Entry) -> int:
+    """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
+    logs.configure(options.logging)
+    return asyncio.run(_main(options))
+
+
+async def _main(options: settings.Entry) -> int:
+    state = _new_state(options)
+    log = platformlog.PlatformLog(options.log)
+    fleet = roster.Roster(state)
+    server = await streams.serve(
+        options.streams, state.identity, state.clock, _peer_handler(state)
+    )
+    background = [
+        asyncio.create_task(
+            platformlog.follow(log, membership.STREAM, fleet.take)
+        ),
+        asyncio.create_task(membership.publish(log, _announcement(state))),
+        asyncio.create_task(
+            links.watch_silence(
+                state.servers_by_id, options.streams.silence_ms, state.clock
+            )
+        ),
+    ]
+    httpd.start(
+        front.build(state, asyncio.get_running_loop()),
+        options.http.listen,
+        options.http.threads,
+        options.http.listen_queue,
+        options.http.max_body_bytes,
+        options.http.tls,
+    )
+    _log.info("Serving.", id=options.id)
+    await signals.stop_requested()
+    await _drain(state, log)
+    await asyncio.to_thread(httpd.stop)
+    for task in background:
+        task.cancel()
+    fleet.close()
+    server.close()
+    log.close()
+    _log.info("Stopped.")
+    return 0
+
+
+def _new_state(options: settings.Entry) -> entry_state.EntryState:
+    time = clock.Clock()
+    identity = streams.Identity(options.id, messages.Role.ENTRY, ids.new_id())
+    owned = ownership.Ownership(options.id, options.ownership.partitions, time)
+    servers_by_id: dict[str, backends.BackendServer] = {}
+    return entry_state.EntryState(
+        options=options,
+        identity=identity,
+        clock=time,
+        ownership=owned,
+        dispatcher=dispatch.Dispatcher(time, servers_by_id, owned),
+        servers_by_id=servers_by_id,
+    )
+
+
+def _announcement(
+    state: entry_state.EntryState,
+) -> membership.Announcement:
+    address = state.options.streams.listen
+    return membership.Announcement(
+        id=state.identity.id,
+        role=messages.Role.ENTRY,
+        incarnation=state.identity.incarnation,
+        host=address.hostname,
+        port=address.port,
+        failure_domain=state.options.failure_domain,
+        region=state.options.region,
+    )
+
+
+def _peer_handler(
+    state: entry_state.EntryState,
+) -> streams.Handler:
+    async def handle(connection: streams.Connection) -> None:
+        await peers.serve_peer(
+            connection,
+            state.clock,
+            lambda request: calls.answer(state, request),
+        )
+
+    return handle
+
+
+async def _drain(
+    state: entry_state.EntryState, log: platformlog.PlatformLog
+) -> None:
+    """Takes no new job, hands over, and finishes those in flight."""
+    _log.info("Draining.")
+    state.draining = True
+    departure = membership.Departure(
+        state.identity.id, messages.Role.ENTRY, state.identity.incarnation
+    )
+    running = [
+        job.ended
+        for job in state.jobs_by_id.values()
+        if job.state is jobs.State.RUNNING
+    ]
+    if running:
+        await asyncio.wait(
+            running, timeout=state.options.drain_timeout_ms / 1_000
+        )
+    departing = asyncio.create_task(membership.publish(log, departure))
+    await asyncio.wait(
+        [departing], timeout=state.options.log.timeout_ms / 1_000
+    )
+    departing.cancel()
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/roster.py
@@ -0,0 +1,102 @@
+"""Keeps the fleet that an entry sees in step with the membership stream."""
+
+import asyncio
+
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardineroute_core import platformlog
+from sardinerouted import membership
+from sardinerouted.entry import backends
+from sardinerouted.entry import links
+from sardinerouted.entry import peers
+from sardinerouted.entry import state as entry_state
+
+_log = logs.part("roster")
+
+
+class Roster:
+    """The announced processes, and a link task for each sidecar."""
+
+    def __init__(self, state: entry_state.EntryState) -> None:
+        self._state = state
+        self._links_by_id: dict[str, asyncio.Task[None]] = {}
+
+    async def take(self, batch: platformlog.Batch) -> None:
+        """Takes records of the membership stream in log order."""
+        for record in batch.records:
+            try:
+                change = membership.decode(record.data)
+            except membership.UnreadableRecord as error:
+                _log.warning(
+                    "A record is unreadable.",
+                    offset=record.offset,
+                    why=str(error),
+                )
+                continue
+            if isinstance(change, membership.Departure):
+                self._remove(change)
+            elif change.role is messages.Role.SIDECAR:
+                self._add_sidecar(change)
+            else:
+                self._add_entry(change)
+
+    def close(self) -> None:
+        """Ends the links to all sidecars and entries."""
+        for link in self._links_by_id.values():
+            link.cancel()
+        for peer in self._state.peers_by_id.values():
+            peer.close()
+
+    def _add_sidecar(self, change: membership.Announcement) -> None:
+        state = self._state
+        known = state.servers_by_id.get(change.id)
+        if known is not None and known.announcement == change:
+            return
+        if known is not None:
+            self._drop_sidecar(known)
+        server = backends.BackendServer(change, state.clock)
+        state.servers_by_id[change.id] = server
+        self._links_by_id[change.id] = asyncio.create_task(
+            links.run_link(
+                server,
+                state.options.streams,
+                state.identity,
+                state.clock,
+                state.ownership,
+                state.dispatcher,
+            )
+        )
+
+    def _add_entry(self, change: membership.Announcement) -> None:
+        state = self._state
+        state.ownership.entries_by_id[change.id] = change
+        if change.id == state.identity.id:
+            return
+        known = state.peers_by_id.get(change.id)
+        if known is not None:
+            known.close()
+        state.peers_by_id[change.id] = peers.Peer(
+            change, state.options.streams, state.identity, state.clock
+        )
+
+    def _remove(self, change: membership.Departure) -> None:
+        state = self._state
+        server = state.servers_by_id.get(change.id)
+        if (
+            server is not None
+            and server.announcement.incarnation == change.incarnation
+        ):
+            self._drop_sidecar(server)
+        entry = state.ownership.entries_by_id.get(change.id)
+        if entry is not None and entry.incarnation == change.incarnation:
+            del state.ownership.entries_by_id[change.id]
+            peer = state.peers_by_id.pop(change.id, None)
+            if peer is not None:
+                peer.close()
+
+    def _drop_sidecar(self, server: backends.BackendServer) -> None:
+        self._state.servers_by_id.pop(server.id, None)
+        link = self._links_by_id.pop(server.id, None)
+        if link is not None:
+            link.cancel()
+        self._state.dispatcher.lose(server)
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -0,0 +1,27 @@
+"""The state of an entry that its commands change and its queries read."""
+
+import dataclasses
+
+from sardineroute_core import clock
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardinerouted.entry import backends
+from sardinerouted.entry import dispatch
+from sardinerouted.entry import jobs
+from sardinerouted.entry import ownership
+from sardinerouted.entry import peers
+
+
+@dataclasses.dataclass
+class EntryState:
+    """All that an entry knows; used from its event loop only."""
+
+    options: settings.Entry
+    identity: streams.Identity
+    clock: clock.Clock
+    ownership: ownership.Ownership
+    dispatcher: dispatch.Dispatcher
+    servers_by_id: dict[str, backends.BackendServer]
+    peers_by_id: dict[str, peers.Peer] = dataclasses.field(default_factory=dict)
+    jobs_by_id: dict[str, jobs.Job] = dataclasses.field(default_factory=dict)
+    draining: bool = False
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/main.py
@@ -0,0 +1,64 @@
+"""The command `sardinerouted`: starts one role of the daemon."""
+
+import pathlib
+import typing
+from typing import Annotated
+
+import typer
+
+from sardineroute_core import errors
+from sardineroute_core import settings
+from sardinerouted.entry import process as entry_process
+from sardinerouted.sidecar import process as sidecar_process
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+_SettingsPath = Annotated[
+    pathlib.Path, typer.Option("--settings", help="The settings file (YAML).")
+]
+
+
+@app.command()
+def entry(path: _SettingsPath) -> None:
+    """Runs an entry: takes jobs from callers and dispatches their tasks."""
+    loaded = _load(path)
+    if not isinstance(loaded, settings.Entry):
+        _fail(f"{path}: role: found {loaded.role!r}; allowed: entry")
+    raise typer.Exit(entry_process.run(loaded))
+
+
+@app.command()
+def sidecar(path: _SettingsPath) -> None:
+    """Runs a sidecar: guards and runs tasks beside a backend server."""
+    loaded = _load(path)
+    if not isinstance(loaded, settings.Sidecar):
+        _fail(f"{path}: role: found {loaded.role!r}; allowed: sidecar")
+    raise typer.Exit(sidecar_process.run(loaded))
+
+
+@app.command("check-settings")
+def check_settings(path: pathlib.Path) -> None:
+    """Checks a settings file and says what is wrong with it."""
+    loaded = _load(path)
+    typer.echo(f"{path}: valid settings of role {loaded.role}")
+
+
+def run() -> None:
+    """Runs the command line."""
+    app()
+
+
+def _load(path: pathlib.Path) -> settings.Entry | settings.Sidecar:
+    try:
+        return settings.load(path)
+    except settings.SettingsError as error:
+        _fail(str(error))
+
+
+def _fail(message: str) -> typing.NoReturn:
+    typer.echo(message, err=True)
+    raise typer.Exit(errors.EXIT_USAGE)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -0,0 +1,114 @@
+"""The sidecar process: starts its parts, and stops them in order."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from sardineroute_core import clock
+from sardineroute_core import ids
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardineroute_core import metrics
+from sardineroute_core import platformlog
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardinerouted import httpd
+from sardinerouted import membership
+from sardinerouted import signals
+from sardinerouted.sidecar import service
+
+_HTTP_THREADS = 2
+_HTTP_QUEUE = 16
+_MAX_BODY_BYTES = 1_024
+
+_log = logs.part("sidecar")
+
+
+def run(options: settings.Sidecar) -> int:
+    """Runs a sidecar until SIGTERM or SIGINT; returns the exit code."""
+    logs.configure(options.logging)
+    return asyncio.run(_main(options))
+
+
+async def _main(options: settings.Sidecar) -> int:
+    time = clock.Clock()
+    incarnation = ids.new_id()
+    identity = streams.Identity(options.id, messages.Role.SIDECAR, incarnation)
+    tasks = service.Service(options, time)
+    server = await streams.serve(options.streams, identity, time, tasks.handle)
+    log = platformlog.PlatformLog(options.log)
+    announcing = asyncio.create_task(
+        membership.publish(log, _announcement(options, incarnation))
+    )
+    ready = [True]
+    httpd.start(
+        _app(ready),
+        options.http,
+        _HTTP_THREADS,
+        _HTTP_QUEUE,
+        _MAX_BODY_BYTES,
+    )
+    _log.info("Serving.", id=options.id, incarnation=incarnation)
+    await signals.stop_requested()
+    _log.info("Draining.")
+    ready[0] = False
+    announcing.cancel()
+    departing = asyncio.create_task(
+        membership.publish(
+            log,
+            membership.Departure(
+                options.id, messages.Role.SIDECAR, incarnation
+            ),
+        )
+    )
+    await tasks.drain()
+    server.close()
+    await asyncio.wait([departing], timeout=options.log.timeout_ms / 1_000)
+    departing.cancel()
+    log.close()
+    httpd.stop()
+    _log.info("Stopped.")
+    return 0
+
+
+def _announcement(
+    options: settings.Sidecar, incarnation: str
+) -> membership.Announcement:
+    address = options.streams.listen
+    return membership.Announcement(
+        id=options.id,
+        role=messages.Role.SIDECAR,
+        incarnation=incarnation,
+        host=address.hostname,
+        port=address.port,
+        failure_domain=options.failure_domain,
+        region=options.region,
+        kinds=tuple(options.backend_server.kinds),
+        slots=options.backend_server.slots,
+        queue=options.backend_server.queue,
+    )
+
+
+def _app(ready: list[bool]) -> httpd.WsgiApp:
+    def app(
+        environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> list[bytes]:
+        path = environ["PATH_INFO"]
+        status = "200 OK"
+        body = b"ok\n"
+        if path == "/metrics":
+            body = metrics.exposition()
+        elif path == "/readyz" and not ready[0]:
+            status = "503 Service Unavailable"
+            body = b"draining\n"
+        elif path not in ("/livez", "/readyz"):
+            status = "404 Not Found"
+            body = b"not found\n"
+        headers = [
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(status, headers)
+        return [body]
+
+    return app
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -0,0 +1,201 @@
+"""Serves the entries: one task for each stream, one thread for each slot."""
+
+import asyncio
+import collections
+import concurrent.futures
+import dataclasses
+
+from sardineroute_core import clock
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardinerouted.sidecar import guard
+from sardinerouted.sidecar import runner
+
+MAX_KEPT_TASKS = 200_000
+
+_log = logs.part("sidecar")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Queued:
+    start: messages.Start
+    connection: streams.Connection
+
+
+class Service:
+    """The tasks of one backend server: waiting, running and ended."""
+
+    def __init__(self, options: settings.Sidecar, time: clock.Clock) -> None:
+        self._options = options.backend_server
+        self._clock = time
+        self._guard = guard.Guard(
+            time, options.ownership.retention_ms, MAX_KEPT_TASKS
+        )
+        self._runner = runner.Runner(options.backend_server)
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            self._options.slots, thread_name_prefix="slot"
+        )
+        self._waiting: collections.deque[_Queued] = collections.deque()
+        self._connections_by_task_id: dict[str, streams.Connection] = {}
+        self._connections: set[streams.Connection] = set()
+        self._runs: set[asyncio.Task[None]] = set()
+        self._busy = 0
+        self._leaving = False
+
+    async def handle(self, connection: streams.Connection) -> None:
+        """Serves one entry until its stream is closed."""
+        if connection.peer.role is not messages.Role.ENTRY:
+            raise streams.ConnectionLost("only entries are served")
+        self._connections.add(connection)
+        try:
+            if self._leaving:
+                connection.send(messages.Leaving("shutting down"))
+            async for message in connection.receive():
+                self._take(connection, message)
+        finally:
+            self._connections.discard(connection)
+
+    async def drain(self) -> None:
+        """Takes no new work, and returns when all accepted tasks ended."""
+        self._leaving = True
+        for connection in self._connections:
+            connection.send(messages.Leaving("shutting down"))
+        while self._runs:
+            await asyncio.wait(self._runs)
+        for connection in list(self._connections):
+            await connection.drained()
+
+    def _take(self, connection: streams.Connection, message: object) -> None:
+        if isinstance(message, messages.Start):
+            self._start(connection, message)
+        elif isinstance(message, messages.Ask):
+            self._answer_ask(connection, message)
+        elif isinstance(message, messages.CancelTasks):
+            self._cancel(message)
+        elif isinstance(message, messages.Ping):
+            tick_ms = self._clock.now_ms()
+            connection.send(messages.Pong(message.id, tick_ms))
+
+    def _start(
+        self, connection: streams.Connection, start: messages.Start
+    ) -> None:
+        if self._leaving and self._guard.find(start.task_id) is None:
+            self._refuse(
+                connection, start, messages.TaskOutcome.REFUSED_LEAVING
+            )
+            return
+        if self._is_full() and self._guard.find(start.task_id) is None:
+            self._refuse(connection, start, messages.TaskOutcome.REFUSED_FULL)
+            return
+        decision = self._guard.decide(start)
+        if decision.refusal is not None:
+            self._refuse(connection, start, decision.refusal)
+        elif decision.known is not None:
+            self._tell(connection, decision.known)
+        else:
+            self._connections_by_task_id[start.task_id] = connection
+            self._waiting.append(_Queued(start, connection))
+            self._fill_slots()
+
+    def _answer_ask(
+        self, connection: streams.Connection, ask: messages.Ask
+    ) -> None:
+        for task_id in ask.task_ids:
+            record = self._guard.find(task_id)
+            if record is None:
+                self._guard.fence(task_id)
+                outcome = messages.TaskOutcome.NEVER_SEEN
+                connection.send(self._result(task_id, outcome))
+            else:
+                self._tell(connection, record)
+
+    def _tell(
+        self, connection: streams.Connection, record: guard.TaskRecord
+    ) -> None:
+        if record.result is not None:
+            connection.send(record.result)
+        elif record.phase is guard.Phase.FENCED:
+            outcome = messages.TaskOutcome.NEVER_SEEN
+            connection.send(self._result(record.id, outcome))
+        else:
+            self._connections_by_task_id[record.id] = connection
+            connection.send(
+                messages.Running(
+                    record.id,
+                    record.digest,
+                    self._busy,
+                    len(self._waiting),
+                    self._clock.now_ms(),
+                )
+            )
+
+    def _cancel(self, cancel: messages.CancelTasks) -> None:
+        withdrawn = set(cancel.task_ids)
+        kept: collections.deque[_Queued] = collections.deque()
+        for queued in self._waiting:
+            if queued.start.task_id in withdrawn:
+                self._guard.forget(queued.start.task_id)
+                self._guard.fence(queued.start.task_id)
+                self._refuse(
+                    queued.connection,
+                    queued.start,
+                    messages.TaskOutcome.REFUSED_CANCELED,
+                )
+            else:
+                kept.append(queued)
+        self._waiting = kept
+
+    def _refuse(
+        self,
+        connection: streams.Connection,
+        start: messages.Start,
+        outcome: messages.TaskOutcome,
+    ) -> None:
+        connection.send(self._result(start.task_id, outcome))
+
+    def _is_full(self) -> bool:
+        free = self._options.slots - self._busy
+        return len(self._waiting) >= free + self._options.queue
+
+    def _fill_slots(self) -> None:
+        while self._waiting and self._busy < self._options.slots:
+            queued = self._waiting.popleft()
+            self._busy += 1
+            run = asyncio.create_task(self._run(queued.start))
+            self._runs.add(run)
+            run.add_done_callback(self._runs.discard)
+
+    async def _run(self, start: messages.Start) -> None:
+        loop = asyncio.get_running_loop()
+        ending = await loop.run_in_executor(
+            self._executor, self._runner.run, start
+        )
+        self._busy -= 1
+        self._fill_slots()
+        result = self._result(start.task_id, ending.outcome, ending)
+        connection = self._connections_by_task_id.pop(start.task_id, None)
+        if ending.outcome.never_started:
+            self._guard.forget(start.task_id)
+        else:
+            self._guard.end(result)
+        if connection is not None:
+            connection.send(result)
+
+    def _result(
+        self,
+        task_id: str,
+        outcome: messages.TaskOutcome,
+        ending: runner.Ending | None = None,
+    ) -> messages.Result:
+        return messages.Result(
+            task_id=task_id,
+            outcome=int(outcome),
+            body=ending.body if ending else b"",
+            detail=ending.detail if ending else "",
+            run_ms=ending.run_ms if ending else 0,
+            busy=self._busy,
+            queued=len(self._waiting),
+            tick_ms=self._clock.now_ms(),
+        )
