--- /dev/null
+++ b/packages/standins/src/sardineroute_standins/fleet.py
@@ -0,0 +1,306 @@
+"""Runs a whole fleet of real processes on loopback."""
+
+import dataclasses
+import json
+import pathlib
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+from typing import Any
+from typing import Self
+
+import urllib3
+
+from sardineroute_standins import layout
+from sardineroute_standins import ports as ports_module
+from sardineroute_standins import processes
+
+STANDINS = "sardineroute_standins.main"
+DAEMON = "sardinerouted.main"
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.02
+
+
+class FleetError(Exception):
+    """Raised when a process of the fleet doesn't get ready."""
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendServer:
+    """A backend server and the sidecar beside it.
+
+    Attributes:
+        name: Name of the backend server's process.
+        url: Where the backend server listens.
+        sidecar: Name of the sidecar's process.
+    """
+
+    name: str
+    url: str
+    sidecar: str
+
+
+class Fleet:
+    """A platform log, backend servers, sidecars and entries.
+
+    Processes are called "log", "entry-1", "backend-1", "sidecar-1" and so on.
+
+    Attributes:
+        options: Size and behaviour.
+        folder: Holds settings, and what each process printed, as NAME.out.
+        processes_by_name: All processes, running or not.
+        entry_urls_by_name: Where callers reach the entries.
+        backend_servers: The backend servers.
+        secrets: Tokens of teams and operators.
+    """
+
+    def __init__(
+        self,
+        options: layout.Options = layout.Options(),  # noqa: B008
+        folder: pathlib.Path | None = None,
+    ) -> None:
+        self.options = options
+        self._temporary = folder is None
+        self.folder = folder or pathlib.Path(tempfile.mkdtemp())
+        self.processes_by_name: dict[str, processes.Process] = {}
+        self.entry_urls_by_name: dict[str, str] = {}
+        self.backend_servers: list[BackendServer] = []
+        self.secrets = layout.make_secrets()
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self._writer = layout.Writer(options, self.secrets, self.folder)
+        self._ports = ports_module.Ports()
+        self._spawner = processes.Spawner()
+        self.log_url = ""
+
+    def __enter__(self) -> Self:
+        """Starts all and waits until all are ready."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stops all."""
+        self.stop()
+
+    def start(self) -> None:
+        """Starts all processes and waits until all are ready."""
+        self._add_log()
+        for _ in range(self.options.backend_servers):
+            self.add_backend_server()
+        for _ in range(self.options.entries):
+            self.add_entry()
+        self.wait_ready(*self.processes_by_name)
+
+    def stop(self) -> None:
+        """Stops all processes: SIGTERM, then SIGKILL after a bound."""
+        started = [
+            process
+            for process in self.processes_by_name.values()
+            if process.running
+        ]
+        self._stop_all(started)
+        self._spawner.close()
+        self._ports.release()
+        self.http.clear()
+        if self._temporary:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def add_entry(self) -> str:
+        """Starts one more entry and returns its name; it may not be ready."""
+        index = len(self.entry_urls_by_name)
+        member = self._member(f"entry-{index + 1}", index)
+        file = self._writer.entry(member)
+        self._launch_daemon("entry", member, file)
+        self.entry_urls_by_name[member.id] = layout.url(member.http_port)
+        return member.id
+
+    def add_backend_server(self) -> BackendServer:
+        """Starts one more backend server and its sidecar."""
+        index = len(self.backend_servers)
+        port = self._ports.reserve()
+        server = BackendServer(
+            f"backend-{index + 1}", layout.url(port), f"sidecar-{index + 1}"
+        )
+        self._launch_backend(server, index, port)
+        member = self._member(server.sidecar, index)
+        file = self._writer.sidecar(member, server.url)
+        self._launch_daemon("sidecar", member, file)
+        self.backend_servers.append(server)
+        return server
+
+    def wait_ready(
+        self, *names: str, timeout_s: float = READY_TIMEOUT_S
+    ) -> None:
+        """Waits until /readyz of each named process answers 200.
+
+        Raises:
+            FleetError: One has ended, or isn't ready in time.
+        """
+        end_s = time.monotonic() + timeout_s
+        waiting = [self.processes_by_name[name] for name in names]
+        while waiting:
+            waiting = [one for one in waiting if not self._is_ready(one)]
+            if waiting and time.monotonic() > end_s:
+                raise FleetError(f"not ready in time: {_tails(waiting)}")
+            if waiting:
+                time.sleep(POLL_S)
+
+    def kill(self, name: str) -> None:
+        """Kills a process and waits for its end."""
+        self.processes_by_name[name].kill()
+
+    def pause(self, name: str) -> None:
+        """Stops a process with SIGSTOP; its connections stay open."""
+        self.processes_by_name[name].signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a paused process go on."""
+        self.processes_by_name[name].signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Sends SIGTERM, and returns at once."""
+        self.processes_by_name[name].signal(signal.SIGTERM)
+
+    def restart(self, name: str) -> None:
+        """Kills a process if it runs, and starts it with its settings."""
+        process = self.processes_by_name[name]
+        process.kill()
+        process.start()
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Sets faults of the log or of a backend server, by its name."""
+        process = self.processes_by_name[name]
+        base = process.ready_url.removesuffix("/readyz")
+        self.call("PUT", f"{base}/faults", faults)
+
+    def executions(self) -> dict[str, int]:
+        """Returns the starts of each task key over all backend servers.
+
+        Only running backend servers are asked; a killed one has forgotten
+        its starts.
+        """
+        starts_by_key: dict[str, int] = {}
+        for server in self.backend_servers:
+            if not self.processes_by_name[server.name].running:
+                continue
+            counts = self.call("GET", f"{server.url}/executions")
+            for key, count in counts.items():
+                starts_by_key[key] = starts_by_key.get(key, 0) + count
+        return starts_by_key
+
+    def call(self, method: str, url: str, body: Any = None) -> Any:
+        """Sends JSON and returns the JSON of a 200 answer."""
+        response = self.http.request(method, url, json=body)
+        if response.status != 200:
+            raise FleetError(f"{method} {url}: {response.status}")
+        return response.json()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns what `up` prints: URLs, process ids and tokens."""
+        return {
+            "entries": [
+                {"url": url, "pid": self.processes_by_name[name].pid}
+                for name, url in self.entry_urls_by_name.items()
+            ],
+            "backend_servers": [
+                {
+                    "url": server.url,
+                    "pid": self.processes_by_name[server.name].pid,
+                    "sidecar_pid": self.processes_by_name[server.sidecar].pid,
+                }
+                for server in self.backend_servers
+            ],
+            "log": {
+                "url": self.log_url,
+                "pid": self.processes_by_name["log"].pid,
+            },
+            "team_tokens": self.secrets.team_tokens_by_name,
+            "operator_token": self.secrets.operator_token,
+        }
+
+    def outputs(self) -> str:
+        """Returns the last part of what each process printed."""
+        return _tails(list(self.processes_by_name.values()))
+
+    def _add_log(self) -> None:
+        port = self._ports.reserve()
+        options = self.options.log
+        self.log_url = layout.url(port)
+        arguments = [STANDINS, "log", "--port", str(port)]
+        for field, value in dataclasses.asdict(options).items():
+            arguments += [f"--{field.replace('_', '-')}", str(value)]
+        self._launch("log", arguments, port)
+
+    def _launch_backend(
+        self, server: BackendServer, index: int, port: int
+    ) -> None:
+        speed = layout.speed(index, self.options.backend_servers)
+        arguments = [STANDINS, "backend", "--name", server.name]
+        arguments += ["--port", str(port), "--speed", f"{speed:.2f}"]
+        arguments += ["--slots", str(self.options.slots)]
+        self._launch(server.name, arguments, port)
+
+    def _member(self, name: str, index: int) -> layout.Member:
+        return layout.Member(
+            id=name,
+            index=index,
+            log_url=self.log_url,
+            stream_port=self._ports.reserve(),
+            http_port=self._ports.reserve(),
+        )
+
+    def _launch_daemon(
+        self, role: str, member: layout.Member, file: pathlib.Path
+    ) -> None:
+        arguments = [DAEMON, role, "--settings", str(file)]
+        self._launch(member.id, arguments, member.http_port)
+
+    def _launch(self, name: str, arguments: list[str], port: int) -> None:
+        process = processes.Process(
+            self._spawner,
+            name,
+            arguments,
+            f"{layout.url(port)}/readyz",
+            self.folder / f"{name}.out",
+        )
+        self.processes_by_name[name] = process
+        process.start()
+
+    def _is_ready(self, process: processes.Process) -> bool:
+        if not process.running:
+            raise FleetError(f"ended: {_tails([process])}")
+        try:
+            response = self.http.request("GET", process.ready_url, timeout=2.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+    def _stop_all(self, started: list[processes.Process]) -> None:
+        for process in started:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        end_s = time.monotonic() + STOP_TIMEOUT_S
+        for process in started:
+            try:
+                process.wait(max(0.0, end_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+
+
+def _tails(group: list[processes.Process]) -> str:
+    parts = [
+        f"--- {process.name} (exit code {process.exit_code})\n{process.tail()}"
+        for process in group
+    ]
+    return "\n".join(parts)
+
+
+def print_description(fleet: Fleet) -> None:
+    """Prints the fleet as one line of JSON."""
+    print(json.dumps(fleet.describe()), flush=True)
--- a/packages/standins/src/sardineroute_standins/main.py
+++ b/packages/standins/src/sardineroute_standins/main.py
@@ -1,8 +1,13 @@
 """The command line of the stand-ins."""
 
+import signal
+
 import typer
 
 from sardineroute_standins import backend as backend_module
+from sardineroute_standins import demo as demo_module
+from sardineroute_standins import fleet as fleet_module
+from sardineroute_standins import layout
 from sardineroute_standins import platform
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
@@ -39,5 +44,35 @@
     backend_module.serve(host, port, options)
 
 
+@app.command()
+def up(entries: int = 3, backend_servers: int = 3) -> None:
+    """Keeps a fleet on loopback until interrupted; prints one JSON line."""
+    _exit_on_signals()
+    options = layout.Options(entries=entries, backend_servers=backend_servers)
+    with fleet_module.Fleet(options) as fleet:
+        fleet_module.print_description(fleet)
+        signal.pause()
+
+
+@app.command()
+def demo() -> None:
+    """Runs one job of many tasks through a small fleet."""
+    _exit_on_signals()
+    if not demo_module.run():
+        raise typer.Exit(1)
+
+
+def _exit_on_signals() -> None:
+    signal.signal(signal.SIGINT, _exit)
+    signal.signal(signal.SIGTERM, _exit)
+
+
+def _exit(*_: object) -> None:
+    # The fleet is stopped on the way out; a second signal can't cut that.
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise SystemExit(0)
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/packages/standins/src/sardineroute_standins/processes.py
@@ -0,0 +1,135 @@
+"""Starts, signals and stops the real processes of a fleet."""
+
+import concurrent.futures
+import ctypes
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+TAIL_BYTES = 4_000
+
+_LIBC = ctypes.CDLL(None)
+_PR_SET_PDEATHSIG = 1
+
+
+def _die_with_parent() -> None:
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Spawner:
+    """Starts processes that the kernel kills when this one ends.
+
+    The kernel ties a child to the thread that started it, so one thread,
+    which lives until `close`, starts them all.
+    """
+
+    def __init__(self) -> None:
+        self._thread = concurrent.futures.ThreadPoolExecutor(
+            max_workers=1, thread_name_prefix="spawner"
+        )
+
+    def spawn(
+        self, arguments: list[str], output: pathlib.Path
+    ) -> subprocess.Popen[bytes]:
+        """Returns a started process; `output` takes what it prints."""
+        return self._thread.submit(self._start, arguments, output).result()
+
+    def close(self) -> None:
+        """Ends the thread; what it started and still runs is killed."""
+        self._thread.shutdown()
+
+    def _start(
+        self, arguments: list[str], output: pathlib.Path
+    ) -> subprocess.Popen[bytes]:
+        with output.open("ab") as file:
+            return subprocess.Popen(
+                arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=file,
+                stderr=subprocess.STDOUT,
+                env=_environment(),
+                preexec_fn=_die_with_parent,
+                # Keeps a terminal's SIGINT from the fleet's processes.
+                start_new_session=True,
+            )
+
+
+def _environment() -> dict[str, str]:
+    paths = [path for path in sys.path if path]
+    return {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
+
+
+class Process:
+    """One process of a fleet, which may be started more than once.
+
+    Attributes:
+        name: Its name in the fleet.
+        ready_url: Answers 200 when the process is ready.
+        output: The file that takes what it prints.
+    """
+
+    def __init__(
+        self,
+        spawner: Spawner,
+        name: str,
+        module_arguments: list[str],
+        ready_url: str,
+        output: pathlib.Path,
+    ) -> None:
+        self.name = name
+        self.ready_url = ready_url
+        self.output = output
+        self._spawner = spawner
+        self._arguments = [sys.executable, "-m", *module_arguments]
+        self._child: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Returns the process id; 0 before the first start."""
+        return self._child.pid if self._child else 0
+
+    @property
+    def exit_code(self) -> int | None:
+        """Returns the exit code, or None while it runs."""
+        return self._child.poll() if self._child else None
+
+    @property
+    def running(self) -> bool:
+        """Returns whether it has been started and hasn't ended."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Starts it."""
+        if self.running:
+            raise RuntimeError(f"{self.name} is already running")
+        self._child = self._spawner.spawn(self._arguments, self.output)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, if it runs."""
+        if self._child:
+            self._child.send_signal(number)
+
+    def wait(self, timeout_s: float) -> int:
+        """Returns the exit code when it has ended.
+
+        Raises:
+            subprocess.TimeoutExpired: It still runs.
+        """
+        if self._child is None:
+            raise RuntimeError(f"{self.name} was never started")
+        return self._child.wait(timeout_s)
+
+    def kill(self) -> None:
+        """Kills it and waits for its end."""
+        if self._child:
+            self._child.kill()
+            self._child.wait()
+
+    def tail(self) -> str:
+        """Returns the last part of what it printed."""
+        if not self.output.exists():
+            return ""
+        data = self.output.read_bytes()[-TAIL_BYTES:]
+        return data.decode(errors="replace")
