--- /dev/null
+++ b/packages/core/src/sardineroute_core/policy.py
@@ -0,0 +1,99 @@
+"""The configuration in force: weights, quotas and limits of each team."""
+
+import dataclasses
+import types
+from collections.abc import Mapping
+
+
+@dataclasses.dataclass(frozen=True)
+class KindPolicy:
+    """What one kind of work of a team may use.
+
+    Attributes:
+        weight: Share among the team's kinds that have work.
+        urgency: Higher goes first inside the kind's share of spare capacity.
+        max_queued_tasks: Tasks that may wait at one entry.
+        max_waiting_callers: Callers that may wait at one entry.
+        timeout_ms: Timeout of a job that names none.
+    """
+
+    weight: float = 1.0
+    urgency: int = 0
+    max_queued_tasks: int = 20_000
+    max_waiting_callers: int = 32
+    timeout_ms: int = 30_000
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamPolicy:
+    """What one team may use.
+
+    Attributes:
+        schema_version: The schema that the team's section is written in.
+        weight: Share among the teams that have work.
+        max_running_tasks: Quota of tasks sent at a time by one entry; 0 for
+            no quota.
+        max_queued_tasks: Tasks that may wait at one entry, over all kinds.
+        max_waiting_callers: Callers that may wait at one entry, over all
+            kinds.
+        kinds_by_name: The kinds that the team may submit; empty for any.
+    """
+
+    schema_version: int = 1
+    weight: float = 1.0
+    max_running_tasks: int = 0
+    max_queued_tasks: int = 40_000
+    max_waiting_callers: int = 48
+    kinds_by_name: Mapping[str, KindPolicy] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
+
+    def kind(self, name: str) -> KindPolicy:
+        """Returns the policy of a kind, the default where none is set."""
+        return self.kinds_by_name.get(name, _DEFAULT_KIND)
+
+    def allows(self, name: str) -> bool:
+        """Returns whether the team may submit a kind."""
+        return not self.kinds_by_name or name in self.kinds_by_name
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """One version of the configuration.
+
+    Attributes:
+        version: Grows by one with each accepted change; 0 before the first.
+        dispatch: Name of the dispatch policy.
+        teams_by_name: The teams that have a section.
+    """
+
+    version: int = 0
+    dispatch: str = "fastest"
+    teams_by_name: Mapping[str, TeamPolicy] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
+
+    def team(self, name: str) -> TeamPolicy:
+        """Returns the policy of a team, the default where none is set."""
+        return self.teams_by_name.get(name, _DEFAULT_TEAM)
+
+
+class PolicyHolder:
+    """Holds the version in force in this process."""
+
+    def __init__(self) -> None:
+        self._current = Policy()
+
+    @property
+    def current(self) -> Policy:
+        """Returns the version in force."""
+        return self._current
+
+    def replace(self, newer: Policy) -> None:
+        """Puts a newer version in force; an older one changes nothing."""
+        if newer.version > self._current.version:
+            self._current = newer
+
+
+_DEFAULT_KIND = KindPolicy()
+_DEFAULT_TEAM = TeamPolicy()
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -7,6 +7,7 @@
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import platformlog
+from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted import httpd
@@ -82,6 +83,7 @@
         clock=time,
         ownership=owned,
         dispatcher=dispatch.Dispatcher(time, servers_by_id, owned),
+        policy=policy.PolicyHolder(),
         servers_by_id=servers_by_id,
     )
 
--- a/packages/daemon/src/sardinerouted/entry/queries.py
+++ b/packages/daemon/src/sardinerouted/entry/queries.py
@@ -45,4 +45,6 @@
 
 def is_ready(state: entry_state.EntryState) -> bool:
     """Returns whether this entry takes requests."""
-    return not state.draining and bool(state.ownership.entries_by_id)
+    return not state.draining and (
+        state.identity.id in state.ownership.entries_by_id
+    )
--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sardineroute_core import clock
+from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted.entry import backends
@@ -21,6 +22,7 @@
     clock: clock.Clock
     ownership: ownership.Ownership
     dispatcher: dispatch.Dispatcher
+    policy: policy.PolicyHolder
     servers_by_id: dict[str, backends.BackendServer]
     peers_by_id: dict[str, peers.Peer] = dataclasses.field(default_factory=dict)
     jobs_by_id: dict[str, jobs.Job] = dataclasses.field(default_factory=dict)
--- a/packages/daemon/src/sardinerouted/sidecar/process.py
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -40,9 +40,9 @@
     announcing = asyncio.create_task(
         membership.publish(log, _announcement(options, incarnation))
     )
-    ready = [True]
+    draining = asyncio.Event()
     httpd.start(
-        _app(ready),
+        _app(lambda: announcing.done() and not draining.is_set()),
         options.http,
         _HTTP_THREADS,
         _HTTP_QUEUE,
@@ -51,7 +51,7 @@
     _log.info("Serving.", id=options.id, incarnation=incarnation)
     await signals.stop_requested()
     _log.info("Draining.")
-    ready[0] = False
+    draining.set()
     announcing.cancel()
     departing = asyncio.create_task(
         membership.publish(
@@ -89,7 +89,7 @@
     )
 
 
-def _app(ready: list[bool]) -> httpd.WsgiApp:
+def _app(is_ready: Callable[[], bool]) -> httpd.WsgiApp:
     def app(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> list[bytes]:
@@ -98,9 +98,9 @@
         body = b"ok\n"
         if path == "/metrics":
             body = metrics.exposition()
-        elif path == "/readyz" and not ready[0]:
+        elif path == "/readyz" and not is_ready():
             status = "503 Service Unavailable"
-            body = b"draining\n"
+            body = b"not ready\n"
         elif path not in ("/livez", "/readyz"):
             status = "404 Not Found"
             body = b"not found\n"
