--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -80,9 +80,13 @@
 
 
 class Streams(_Section):
-    """The msgpack streams between the daemon's processes."""
+    """The msgpack streams between the daemon's processes.
+
+    `advertise` is where peers reach `listen`, if that is another address.
+    """
 
     listen: Address
+    advertise: Address | None = None
     secret: Annotated[str, pydantic.Field(min_length=16)]
     silence_ms: Annotated[int, pydantic.Field(ge=50)] = 1_000
     connect_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 1_000
--- a/packages/standins/src/sardineroute_standins/backend.py
+++ b/packages/standins/src/sardineroute_standins/backend.py
@@ -74,8 +74,6 @@
             return self._executions()
         if route == ("PUT", "/faults"):
             return self._put_faults(request)
-        if route == ("GET", "/readyz"):
-            return web.Reply()
         return web.refuse(404, "no such resource")
 
     def stop(self) -> None:
--- /dev/null
+++ b/packages/standins/src/sardineroute_standins/control.py
@@ -0,0 +1,110 @@
+"""Runs fault-injecting links and controls them over HTTP."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import re
+import threading
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
+
+from sardineroute_standins import proxy
+from sardineroute_standins import web
+
+THREADS = 16
+CALL_TIMEOUT_S = 10.0
+
+_LINK_PATH = re.compile(r"^/links/([^/]+)(/faults)?$")
+_ACTIONS = ("reset", "silence")
+_T = TypeVar("_T")
+
+
+class Control:
+    """The links of one process, on an event loop in a thread."""
+
+    def __init__(self) -> None:
+        self._links_by_name: dict[str, proxy.Link] = {}
+        self._loop = asyncio.new_event_loop()
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+
+    def add(self, name: str, route: proxy.Route) -> None:
+        """Opens a link."""
+        self._call(self._add(name, route))
+
+    def stop(self) -> None:
+        """Closes all links."""
+        self._call(self._close())
+
+    def handle(self, request: web.Request) -> web.Reply:
+        """Answers one HTTP request."""
+        if (request.method, request.path) == ("GET", "/links"):
+            return web.reply(self._call(self._describe()))
+        match = _LINK_PATH.match(request.path)
+        if request.method != "PUT" or not match:
+            return web.refuse(404, "no such resource")
+        name = match.group(1)
+        if not match.group(2):
+            self.add(name, _route(request.fields()))
+            return web.Reply()
+        if name not in self._links_by_name:
+            return web.refuse(404, f"no link {name}")
+        self._call(self._apply(self._links_by_name[name], request.fields()))
+        return web.Reply()
+
+    def _call(self, coroutine: Coroutine[Any, Any, _T]) -> _T:
+        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        return future.result(CALL_TIMEOUT_S)
+
+    async def _add(self, name: str, route: proxy.Route) -> None:
+        link = proxy.Link(route)
+        await link.open()
+        self._links_by_name[name] = link
+
+    async def _close(self) -> None:
+        for link in self._links_by_name.values():
+            await link.close()
+
+    async def _describe(self) -> dict[str, Any]:
+        return {
+            name: {
+                "faults": dataclasses.asdict(link.faults),
+                **dataclasses.asdict(link.counts()),
+            }
+            for name, link in self._links_by_name.items()
+        }
+
+    async def _apply(self, link: proxy.Link, fields: dict[str, Any]) -> None:
+        actions = [name for name in _ACTIONS if fields.pop(name, False)]
+        try:
+            faults = dataclasses.replace(link.faults, **fields)
+        except TypeError as error:
+            raise web.BadRequest(str(error)) from error
+        await link.apply(faults)
+        if "reset" in actions:
+            link.reset()
+        if "silence" in actions:
+            link.silence()
+
+
+def _route(fields: dict[str, Any]) -> proxy.Route:
+    try:
+        return proxy.Route(**fields)
+    except TypeError as error:
+        raise web.BadRequest(str(error)) from error
+
+
+def serve(host: str, port: int, links: pathlib.Path | None) -> None:
+    """Serves links until SIGTERM or SIGINT.
+
+    Args:
+        host: IP address of the control server.
+        port: Port of the control server.
+        links: JSON file of the first links: {NAME: {"listen", "target"}}.
+    """
+    control = Control()
+    routes = json.loads(links.read_text()) if links else {}
+    for name, fields in routes.items():
+        control.add(name, _route(fields))
+    web.serve(control.handle, host, port, THREADS, control.stop)
--- a/packages/standins/src/sardineroute_standins/main.py
+++ b/packages/standins/src/sardineroute_standins/main.py
@@ -1,10 +1,12 @@
 """The command line of the stand-ins."""
 
+import pathlib
 import signal
 
 import typer
 
 from sardineroute_standins import backend as backend_module
+from sardineroute_standins import control
 from sardineroute_standins import demo as demo_module
 from sardineroute_standins import fleet as fleet_module
 from sardineroute_standins import layout
@@ -44,6 +46,14 @@
     backend_module.serve(host, port, options)
 
 
+@app.command()
+def proxy(
+    host: str = "127.0.0.1", port: int = 0, links: pathlib.Path | None = None
+) -> None:
+    """Serves fault-injecting TCP links; LINKS is a JSON file of routes."""
+    control.serve(host, port, links)
+
+
 @app.command()
 def up(entries: int = 3, backend_servers: int = 3) -> None:
     """Keeps a fleet on loopback until interrupted; prints one JSON line."""
--- a/packages/standins/src/sardineroute_standins/platform.py
+++ b/packages/standins/src/sardineroute_standins/platform.py
@@ -140,8 +140,6 @@
             return self._put_faults(request)
         if (request.method, request.path) == ("POST", "/trim"):
             return self._trim(request)
-        if (request.method, request.path) == ("GET", "/readyz"):
-            return web.Reply()
         return web.refuse(404, "no such resource")
 
     def stop(self) -> None:
--- a/packages/standins/src/sardineroute_standins/web.py
+++ b/packages/standins/src/sardineroute_standins/web.py
@@ -101,14 +101,15 @@
 
 
 def application(handler: Handler) -> Application:
-    """Returns a WSGI application that calls `handler`."""
+    """Returns a WSGI application that serves /readyz and calls `handler`."""
 
     def respond(
         environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         request = _read(environ)
         try:
-            answer = handler(request)
+            ready = request.path == "/readyz"
+            answer = _readiness() if ready else handler(request)
         except BadRequest as error:
             answer = refuse(400, str(error))
         status = f"{answer.status} {http.HTTPStatus(answer.status).phrase}"
@@ -123,6 +124,12 @@
     return respond
 
 
+def _readiness() -> Reply:
+    # A SIGTERM before the engine has started would end it with an error.
+    started = cherrypy.engine.state == cherrypy.engine.states.STARTED
+    return Reply() if started else refuse(503, "starting or stopping")
+
+
 def _read(environ: dict[str, Any]) -> Request:
     length = int(environ.get("CONTENT_LENGTH") or 0)
     return Request(
