--- a/packages/core/src/sardineroute_core/messages.py
+++ b/packages/core/src/sardineroute_core/messages.py
@@ -27,7 +27,8 @@
 class TaskOutcome(enum.IntEnum):
     """How a task ended at a sidecar.
 
-    The refusals, from `REFUSED_FULL` on, say that the task was not started
+    `EXPIRED` is a task that ended and whose answer is no longer kept. The
+    refusals, from `REFUSED_FULL` on, say that the task was not started
     and that this start message never will start it.
     """
 
@@ -35,6 +36,7 @@
     FAILED = 2
     TIMED_OUT = 3
     UNKNOWN = 4
+    EXPIRED = 5
     REFUSED_FULL = 10
     REFUSED_FENCED = 11
     REFUSED_LEAVING = 12
@@ -85,12 +87,14 @@
     """Asks a sidecar to start a task.
 
     `valid_until_ms` is in the sidecar's monotonic time; later the sidecar
-    refuses. `epoch` is the log offset of the sender's claim on `partition`.
+    refuses. `epoch` is the log offset of the sender's claim on `partition`;
+    `attempt` counts the start messages for the task under that claim.
     """
 
     task_id: str
     partition: int
     epoch: int
+    attempt: int
     valid_until_ms: int
     digest: bytes
     kind: str
@@ -122,11 +126,13 @@
     """Asks after tasks; a sidecar fences those that it never saw.
 
     The sidecar answers each with a `Result` or, while it runs, a `Running`.
+    A start of a fenced task is refused up to this epoch and attempt.
     """
 
     task_ids: tuple[str, ...]
     partition: int
     epoch: int
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,7 +162,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Submit:
-    """Hands a job to its home entry; `id` correlates the `Outcome`."""
+    """Hands a job to its home entry; `id` correlates the `Outcome`.
+
+    `witnessed` says that the sender remembers the job.
+    """
 
     id: int
     team: str
@@ -166,6 +175,7 @@
     tasks: tuple[bytes, ...]
     timeout_ms: int
     traceparent: str
+    witnessed: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,6 +229,112 @@
     tick_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobMark:
+    """A submission to remember for `keep_ms`, by its id and body digest."""
+
+    job_id: str
+    digest: bytes
+    keep_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Witness:
+    """Asks another entry to remember submissions before they start."""
+
+    id: int
+    marks: tuple[JobMark, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Witnessed:
+    """Answers `Witness`; not accepted where there is no room for them."""
+
+    id: int
+    accepted: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Survey:
+    """Asks another entry for all submissions it knows in some partitions."""
+
+    id: int
+    partitions: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surveyed:
+    """Answers `Survey`.
+
+    `incarnation` is the answering entry's. Entries lost before the log offset
+    `losses_before` were lost longer ago than any job is remembered. In the
+    partitions `doubtful` it may not know all submissions. `kept` names jobs
+    of which it can tell the outcome.
+    """
+
+    id: int
+    incarnation: str
+    losses_before: int
+    doubtful: tuple[int, ...]
+    marks: tuple[JobMark, ...]
+    kept: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promise:
+    """Asks another entry not to end a session for `for_ms` from now on."""
+
+    id: int
+    session: str
+    for_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promised:
+    """Answers `Promise`."""
+
+    id: int
+    given: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskPartition:
+    """Asks a sidecar which jobs of a partition it has started.
+
+    From then on the sidecar refuses starts of the partition with a lower
+    epoch, so that the answer stays true. With a `job`, asks for the tasks of
+    that one job.
+    """
+
+    id: int
+    partition: int
+    epoch: int
+    job: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartitionTasks:
+    """Answers `AskPartition`.
+
+    `jobs` has all job ids, where no job was named. Otherwise `digest` is that
+    of the job's body and its tasks are in `ended` or `running`.
+    """
+
+    id: int
+    jobs: tuple[str, ...]
+    digest: bytes
+    ended: tuple[Result, ...]
+    running: tuple[Running, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recall:
+    """Asks an entry for the kept outcome of a job it was home to."""
+
+    id: int
+    job: str
+
+
 _CLASSES_BY_CODE: dict[int, type[Any]] = {
     1: Challenge,
     2: Hello,
@@ -235,6 +351,16 @@
     21: Lookup,
     22: Cancel,
     23: Outcome,
+    30: JobMark,
+    31: Witness,
+    32: Witnessed,
+    33: Survey,
+    34: Surveyed,
+    35: Promise,
+    36: Promised,
+    37: AskPartition,
+    38: PartitionTasks,
+    39: Recall,
 }
 _CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
 _FIELDS_BY_CLASS = {
--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -83,12 +83,15 @@
     """The msgpack streams between the daemon's processes.
 
     `advertise` is where peers reach `listen`, if that is another address.
+    A stream silent for `silence_ms` while an answer is awaited is checked;
+    tasks at a process out of reach for `unreachable_ms` are given up.
     """
 
     listen: Address
     advertise: Address | None = None
     secret: Annotated[str, pydantic.Field(min_length=16)]
     silence_ms: Annotated[int, pydantic.Field(ge=50)] = 1_000
+    unreachable_ms: Annotated[int, pydantic.Field(ge=100)] = 10_000
     connect_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 1_000
     tls: Tls | None = None
 
--- a/packages/daemon/src/sardinerouted/entry/backends.py
+++ b/packages/daemon/src/sardinerouted/entry/backends.py
@@ -7,6 +7,7 @@
 from sardineroute_core import streams
 from sardinerouted import membership
 from sardinerouted.entry import jobs
+from sardinerouted.entry import lease
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,8 +81,10 @@
         """Returns a time of ours in the sidecar's clock, never later.
 
         The tick was read before it was received, so the result errs towards
-        the past by the message's delay.
+        the past by the message's delay, and by what the two clocks may have
+        drifted apart since then.
         """
         if self.tick is None:
             return 0
-        return self.tick.tick_ms + (at_ms - self.tick.received_ms)
+        span_ms = at_ms - self.tick.received_ms
+        return self.tick.tick_ms + span_ms - lease.allowance_ms(span_ms)
--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -1,4 +1,4 @@
-"""Answers the calls of other entries to jobs that are at home here."""
+"""Answers the calls of other entries."""
 
 import dataclasses
 from typing import Any
@@ -6,6 +6,7 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardineroute_core import streams
 from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
 from sardinerouted.entry import queries
@@ -13,27 +14,84 @@
 
 
 async def answer(
-    state: entry_state.EntryState, request: Any
-) -> messages.Outcome:
+    state: entry_state.EntryState, peer: streams.Identity, request: Any
+) -> Any:
     """Returns the answer to a peer's call; errors travel as outcomes."""
+    if isinstance(request, messages.Witness):
+        return _witness(state, request)
+    if isinstance(request, messages.Survey):
+        return _survey(state, request)
+    if isinstance(request, messages.Promise):
+        return _promise(state, request)
     try:
-        outcome = await _execute(state, request)
+        outcome = await _execute(state, peer, request)
     except errors.Error as error:
-        job_id = ids.job_id(request.team, request.key)
-        outcome = jobs.to_error_outcome(job_id, error, 0)
+        outcome = jobs.to_error_outcome(_job_id(request), error, 0)
     return dataclasses.replace(outcome, id=request.id)
 
 
 async def _execute(
-    state: entry_state.EntryState, request: Any
+    state: entry_state.EntryState, peer: streams.Identity, request: Any
 ) -> messages.Outcome:
     if isinstance(request, messages.Submit):
-        return await commands.submit_here(state, _submission(request))
+        witnessed = request.witnessed and state.ownership.is_member(
+            peer.incarnation
+        )
+        return await commands.submit_here(
+            state, _submission(request), witnessed
+        )
     if isinstance(request, messages.Cancel):
         return await commands.cancel_here(state, request.team, request.key)
+    if isinstance(request, messages.Recall):
+        return queries.recall_here(state, request.job)
     return queries.show_here(state, request.team, request.key)
 
 
+def _witness(
+    state: entry_state.EntryState, request: messages.Witness
+) -> messages.Witnessed:
+    accepted = [state.table.remember(mark) for mark in request.marks]
+    return messages.Witnessed(request.id, all(accepted))
+
+
+def _survey(
+    state: entry_state.EntryState, request: messages.Survey
+) -> messages.Surveyed:
+    owned = state.ownership
+    options = state.options.ownership
+    partitions = set(request.partitions)
+    horizon_ms = options.retention_ms + jobs.MAX_TIMEOUT_MS
+    return messages.Surveyed(
+        id=request.id,
+        incarnation=state.identity.incarnation,
+        losses_before=owned.old_losses_before(horizon_ms),
+        doubtful=tuple(set(state.recovery.doubtful()) & partitions),
+        marks=tuple(state.table.marks_in(partitions, options.partitions)),
+        kept=tuple(
+            job_id
+            for job_id in state.former_jobs_by_id
+            if owned.partition_of(job_id) in partitions
+        ),
+    )
+
+
+def _promise(
+    state: entry_state.EntryState, request: messages.Promise
+) -> messages.Promised:
+    owned = state.ownership
+    session = owned.fold.active(request.session)
+    if session is None or not owned.joined:
+        return messages.Promised(request.id, False)
+    given = owned.promises.give(session.id, session.renewed, request.for_ms)
+    return messages.Promised(request.id, given)
+
+
+def _job_id(request: Any) -> str:
+    if isinstance(request, messages.Recall):
+        return request.job
+    return ids.job_id(request.team, request.key)
+
+
 def _submission(request: messages.Submit) -> jobs.Submission:
     return jobs.Submission(
         team=request.team,
--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/commands.py
@@ -5,7 +5,9 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardinerouted.entry import home
 from sardinerouted.entry import jobs
+from sardinerouted.entry import recovery
 from sardinerouted.entry import routing
 from sardinerouted.entry import state as entry_state
 
@@ -13,8 +15,39 @@
 async def submit(
     state: entry_state.EntryState, submission: jobs.Submission
 ) -> messages.Outcome:
-    """Returns a job's outcome, from whichever entry is its home."""
-    request = messages.Submit(
+    """Returns a job's outcome, from whichever entry is its home.
+
+    This entry remembers the job before it passes it on, and so is the second
+    one that knows it.
+    """
+    job_id = submission.job_id
+    was_known = state.table.digest_of(job_id) is not None
+    forwarded = state.forwarded_by_job
+    forwarded[job_id] += 1
+    try:
+        outcome = await routing.route(
+            state,
+            job_id,
+            lambda: _request(state, submission),
+            submission.timeout_ms,
+            lambda: submit_here(state, submission, witnessed=False),
+        )
+    finally:
+        forwarded[job_id] -= 1
+        if not forwarded[job_id]:
+            del forwarded[job_id]
+    refused = outcome.ran == errors.Ran.NO
+    if refused and not was_known and job_id not in forwarded:
+        # The home entry has forgotten the job, and so may we.
+        state.table.forget(job_id)
+    return outcome
+
+
+def _request(
+    state: entry_state.EntryState, submission: jobs.Submission
+) -> messages.Submit:
+    mark = home.mark_of(state, submission)
+    return messages.Submit(
         id=0,
         team=submission.team,
         key=submission.key,
@@ -23,33 +56,33 @@
         tasks=submission.tasks,
         timeout_ms=submission.timeout_ms,
         traceparent=submission.traceparent,
-    )
-    return await routing.route(
-        state,
-        submission.job_id,
-        request,
-        submission.timeout_ms,
-        lambda: submit_here(state, submission),
+        witnessed=state.table.remember(mark),
     )
 
 
 async def submit_here(
-    state: entry_state.EntryState, submission: jobs.Submission
+    state: entry_state.EntryState,
+    submission: jobs.Submission,
+    witnessed: bool,
 ) -> messages.Outcome:
-    """Runs a job at this, its home entry, or attaches to it."""
-    if state.ownership.grant_of(submission.job_id) is None:
-        raise errors.Error(
-            errors.Kind.NOT_OWNER, "this entry is not home to the job"
-        )
+    """Runs a job at this, its home entry, or attaches to it.
+
+    Args:
+        state: The state of the entry.
+        submission: The job.
+        witnessed: Whether another member remembers the job already.
+
+    Raises:
+        errors.Error: The job was refused, or has moved to another entry.
+    """
     job = state.jobs_by_id.get(submission.job_id)
     if job is None:
-        job = _start(state, submission)
+        job = _start(state, submission, witnessed)
     elif job.submission.digest != submission.digest:
-        raise errors.Error(
-            errors.Kind.KEY_REUSED,
-            "the idempotency key was used with another body",
-        )
+        raise _key_reused()
     await asyncio.shield(job.ended)
+    if job.failure is not None and job.failure.kind is errors.Kind.NOT_OWNER:
+        raise job.failure
     return jobs.to_outcome(job, 0)
 
 
@@ -62,7 +95,7 @@
     return await routing.route(
         state,
         job_id,
-        request,
+        lambda: request,
         state.options.streams.silence_ms * 4,
         lambda: cancel_here(state, team, key),
     )
@@ -72,47 +105,76 @@
     state: entry_state.EntryState, team: str, key: str
 ) -> messages.Outcome:
     """Cancels a job at home here; tasks that started go on."""
-    job = state.jobs_by_id.get(ids.job_id(team, key))
+    job_id = ids.job_id(team, key)
+    job = state.jobs_by_id.get(job_id)
     if job is None:
-        raise errors.Error(errors.Kind.NOT_FOUND, "no such job is known")
+        raise unknown_job(state, job_id)
     job.fail(errors.Kind.CANCELED, "canceled by the caller")
     return jobs.to_outcome(job, 0)
 
 
+def unknown_job(state: entry_state.EntryState, job_id: str) -> errors.Error:
+    """Returns the error for a job that is not in this entry's memory.
+
+    Whether it ran is never denied: it may have, longer ago than jobs are
+    kept, or for an earlier home entry.
+    """
+    if state.ownership.grant_of(job_id) is None:
+        return routing.not_owner()
+    standing = state.recovery.standing(job_id)
+    if standing in (recovery.Standing.PENDING, recovery.Standing.KNOWN):
+        return errors.Error(
+            errors.Kind.OUTCOME_UNKNOWN,
+            "the job was submitted before its home entry changed; submit it "
+            "again with the same key and body to learn its outcome",
+            errors.Ran.UNKNOWN,
+        )
+    return errors.Error(
+        errors.Kind.NOT_FOUND, "no such job is known", errors.Ran.UNKNOWN
+    )
+
+
 def _start(
-    state: entry_state.EntryState, submission: jobs.Submission
+    state: entry_state.EntryState,
+    submission: jobs.Submission,
+    witnessed: bool,
 ) -> jobs.Job:
-    if state.draining:
-        raise errors.Error(
-            errors.Kind.SHUTTING_DOWN, "this entry is shutting down"
-        )
-    _check_can_run(state, submission.kind)
+    job_id = submission.job_id
+    partition = state.ownership.partition_of(job_id)
+    if state.ownership.grant_of(job_id) is None:
+        raise routing.not_owner()
+    if partition in state.ownership.closing:
+        raise routing.not_owner()
+    standing = state.recovery.standing(job_id)
+    digest = state.table.digest_of(job_id)
+    if digest not in (None, submission.digest):
+        raise _key_reused()
+    try:
+        _check_admitted(state, submission)
+    except errors.Error as error:
+        if standing is not recovery.Standing.FRESH:
+            # It may have run for an earlier home entry.
+            error.ran = errors.Ran.UNKNOWN
+        raise
     deadline_ms = state.clock.now_ms() + submission.timeout_ms
-    job = jobs.Job(submission, deadline_ms)
-    state.jobs_by_id[job.id] = job
-    loop = asyncio.get_running_loop()
-    timer = loop.call_later(
-        submission.timeout_ms / 1_000,
-        job.fail,
-        errors.Kind.DEADLINE_EXCEEDED,
-        f"not answered within {submission.timeout_ms} ms",
+    job = jobs.Job(
+        submission,
+        deadline_ms,
+        partition,
+        lambda: state.ownership.grant_on(partition) is not None,
     )
-    job.ended.add_done_callback(lambda _: _ended(state, job, timer))
-    state.dispatcher.enqueue(job)
+    home.begin(state, job, witnessed)
     return job
 
 
-def _ended(
-    state: entry_state.EntryState, job: jobs.Job, timer: asyncio.TimerHandle
+def _check_admitted(
+    state: entry_state.EntryState, submission: jobs.Submission
 ) -> None:
-    timer.cancel()
-    job.ended_ms = state.clock.now_ms()
-    failure = job.failure
-    if failure is None or failure.kind is errors.Kind.CANCELED:
-        return
-    if failure.ran is errors.Ran.NO:
-        # A job of which nothing ran may be submitted again.
-        state.jobs_by_id.pop(job.id, None)
+    if state.draining and not state.ownership.others_alive():
+        raise errors.Error(
+            errors.Kind.SHUTTING_DOWN, "this entry is shutting down"
+        )
+    _check_can_run(state, submission.kind)
 
 
 def _check_can_run(state: entry_state.EntryState, kind: str) -> None:
@@ -122,3 +184,10 @@
     raise errors.Error(
         errors.Kind.CANNOT_RUN, f"no backend server runs kind {kind!r}"
     )
+
+
+def _key_reused() -> errors.Error:
+    return errors.Error(
+        errors.Kind.KEY_REUSED,
+        "the idempotency key was used with another body",
+    )
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -55,7 +55,9 @@
     def enqueue(self, job: jobs.Job) -> None:
         """Queues all tasks of a job and sends what can be sent."""
         queue = self._queue(job.submission.kind)
-        queue.extend(job.tasks)
+        queue.extend(
+            task for task in job.tasks if task.phase is jobs.Phase.QUEUED
+        )
         self.pump()
 
     def pump(self) -> None:
@@ -95,6 +97,7 @@
         return self._queues_by_kind.setdefault(kind, collections.deque())
 
     def _pump_queue(self, queue: collections.deque[jobs.Task]) -> None:
+        waiting: list[jobs.Task] = []
         while queue:
             task = queue[0]
             if task.job.state is not jobs.State.RUNNING:
@@ -104,28 +107,31 @@
             if server is None:
                 return
             queue.popleft()
-            self._send(server, task)
+            if not self._send(server, task):
+                waiting.append(task)
+        queue.extend(waiting)
 
-    def _send(self, server: backends.BackendServer, task: jobs.Task) -> None:
+    def _send(self, server: backends.BackendServer, task: jobs.Task) -> bool:
         submission = task.job.submission
         grant = self._ownership.grant_of(task.job.id)
         if server.connection is None:
             raise ValueError("the server has no connection")
         if grant is None:
-            task.job.fail(
-                errors.Kind.NOT_OWNER, "the lease on this job was lost"
-            )
-            return
+            # Waits until the lease is renewed, or the job is lost with it.
+            return False
         now_ms = self._clock.now_ms()
         task.phase = jobs.Phase.SENT
         task.server_id = server.id
         task.sent_ms = now_ms
+        task.epoch = grant.epoch
+        task.attempt += 1
         server.tasks_by_id[task.id] = task
         server.connection.send(
             messages.Start(
                 task_id=task.id,
                 partition=grant.partition,
                 epoch=grant.epoch,
+                attempt=task.attempt,
                 valid_until_ms=server.to_sidecar_time(grant.valid_until_ms),
                 digest=submission.digest,
                 kind=submission.kind,
@@ -134,6 +140,7 @@
                 traceparent=submission.traceparent,
             )
         )
+        return True
 
     def _end(
         self,
@@ -144,6 +151,10 @@
         outcome = messages.TaskOutcome(result.outcome)
         if outcome is messages.TaskOutcome.ANSWERED:
             task.job.answer(task, result.body)
+        elif outcome is messages.TaskOutcome.EXPIRED:
+            task.phase = jobs.Phase.ANSWERED
+            detail = "an answer is no longer kept"
+            task.job.fail(errors.Kind.ANSWER_EXPIRED, detail)
         elif outcome is messages.TaskOutcome.FAILED:
             task.phase = jobs.Phase.FAILED
             task.job.fail(errors.Kind.TASK_FAILED, result.detail)
@@ -165,8 +176,6 @@
         task.phase = jobs.Phase.QUEUED
         if outcome is messages.TaskOutcome.REFUSED_FULL:
             server.others = server.announcement.slots
-        elif outcome is messages.TaskOutcome.NEVER_SEEN:
-            task.excluded_server_ids |= {server.id}
         if task.job.state is jobs.State.RUNNING:
             self._queue(task.job.submission.kind).appendleft(task)
 
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/home.py
@@ -0,0 +1,144 @@
+"""The life of a job at its home entry, and of the partitions held here."""
+
+import asyncio
+
+from sardineroute_core import errors
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardinerouted.entry import jobs
+from sardinerouted.entry import ownership
+from sardinerouted.entry import recovery
+from sardinerouted.entry import state as entry_state
+
+_log = logs.part("home")
+
+
+def begin(
+    state: entry_state.EntryState, job: jobs.Job, witnessed: bool
+) -> None:
+    """Starts a job's tasks as soon as that is safe.
+
+    Args:
+        state: The state of the entry.
+        job: A job that is new in memory.
+        witnessed: Whether another member already remembers it.
+    """
+    state.jobs_by_id[job.id] = job
+    loop = asyncio.get_running_loop()
+    timeout_ms = job.submission.timeout_ms
+    timer = loop.call_later(
+        timeout_ms / 1_000,
+        job.fail,
+        errors.Kind.DEADLINE_EXCEEDED,
+        f"not answered within {timeout_ms} ms",
+    )
+    job.ended.add_done_callback(lambda _: _ended(state, job, timer))
+    standing = state.recovery.standing(job.id)
+    state.table.remember(mark_of(state, job.submission))
+    if standing is recovery.Standing.FRESH and witnessed:
+        job.prove()
+        state.dispatcher.enqueue(job)
+        return
+    preparing = loop.create_task(_prepare(state, job, standing, witnessed))
+    state.preparing.add(preparing)
+    preparing.add_done_callback(state.preparing.discard)
+
+
+def mark_of(
+    state: entry_state.EntryState, submission: jobs.Submission
+) -> messages.JobMark:
+    """Returns what entries remember of a submission."""
+    keep_ms = state.options.ownership.retention_ms + submission.timeout_ms
+    return messages.JobMark(submission.job_id, submission.digest, keep_ms)
+
+
+def running_in(
+    state: entry_state.EntryState, partitions: set[int]
+) -> list[jobs.Job]:
+    """Returns the running jobs of some partitions."""
+    return [
+        job
+        for job in state.jobs_by_id.values()
+        if job.state is jobs.State.RUNNING
+        and state.ownership.partition_of(job.id) in partitions
+    ]
+
+
+def lost(state: entry_state.EntryState, partitions: set[int]) -> None:
+    """Ends the running jobs of partitions that are no longer held here.
+
+    Their callers' entries bring them to the next holder, which finds the
+    tasks that run. Outcomes of ended jobs are kept for it to recall.
+    """
+    state.recovery.lost(partitions)
+    running = running_in(state, partitions)
+    for job in running:
+        job.fail(errors.Kind.NOT_OWNER, "the lease on this job was lost")
+    for job in list(state.jobs_by_id.values()):
+        if state.ownership.partition_of(job.id) in partitions:
+            del state.jobs_by_id[job.id]
+            if job.failure is None or job.failure.kind is not (
+                errors.Kind.NOT_OWNER
+            ):
+                state.former_jobs_by_id[job.id] = job
+    if running:
+        _log.warning("Running jobs have moved.", jobs=len(running))
+
+
+def gained(state: entry_state.EntryState, gains: list[ownership.Gain]) -> None:
+    """Begins to find out about the jobs of partitions now held here."""
+    state.recovery.gained(gains)
+
+
+async def _prepare(
+    state: entry_state.EntryState,
+    job: jobs.Job,
+    standing: recovery.Standing,
+    witnessed: bool,
+) -> None:
+    try:
+        if standing is recovery.Standing.PENDING:
+            standing = await state.recovery.settled(job.id)
+        if standing is recovery.Standing.FRESH:
+            job.prove()
+            await _confirm(state, job, witnessed)
+        else:
+            await state.recovery.rebuild(job)
+            if any(task.phase is jobs.Phase.QUEUED for task in job.tasks):
+                await _confirm(state, job, witnessed)
+    except errors.Error as error:
+        job.fail(error.kind, error.detail)
+    if job.state is jobs.State.RUNNING:
+        state.dispatcher.enqueue(job)
+
+
+async def _confirm(
+    state: entry_state.EntryState, job: jobs.Job, witnessed: bool
+) -> None:
+    if witnessed:
+        return
+    left_ms = job.deadline_ms - state.clock.now_ms()
+    mark = mark_of(state, job.submission)
+    if not await state.desk.confirm(mark, left_ms):
+        job.fail(
+            errors.Kind.LOG_UNAVAILABLE,
+            "neither another entry nor the log could remember the job",
+        )
+
+
+def _ended(
+    state: entry_state.EntryState, job: jobs.Job, timer: asyncio.TimerHandle
+) -> None:
+    timer.cancel()
+    job.ended_ms = state.clock.now_ms()
+    failure = job.failure
+    is_forgotten = job.forgotten
+    if failure is not None and failure.kind is not errors.Kind.CANCELED:
+        if failure.ran is errors.Ran.NO:
+            # A job of which nothing ran may be submitted again.
+            state.table.forget(job.id)
+            is_forgotten = True
+        is_forgotten |= failure.kind is errors.Kind.KEY_REUSED
+    if is_forgotten and state.jobs_by_id.get(job.id) is job:
+        del state.jobs_by_id[job.id]
+    state.kept.add(job)
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -3,11 +3,14 @@
 import asyncio
 import dataclasses
 import enum
+from collections.abc import Callable
 
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
 
+MAX_TIMEOUT_MS = 600_000
+
 
 class State(enum.StrEnum):
     """Where a job stands, as callers see it."""
@@ -19,8 +22,12 @@
 
 
 class Phase(enum.Enum):
-    """Where a task stands, as its home entry knows it."""
+    """Where a task stands, as its home entry knows it.
+
+    An `UNPROVEN` task may have been started for an earlier home entry.
+    """
 
+    UNPROVEN = "unproven"
     QUEUED = "queued"
     SENT = "sent"
     ANSWERED = "answered"
@@ -57,10 +64,12 @@
     index: int
     job: "Job"
     payload: bytes
-    phase: Phase = Phase.QUEUED
+    phase: Phase = Phase.UNPROVEN
     server_id: str = ""
     body: bytes = b""
     sent_ms: int = 0
+    epoch: int = 0
+    attempt: int = 0
     excluded_server_ids: frozenset[str] = frozenset()
 
 
@@ -72,13 +81,25 @@
         tasks: The tasks in the caller's order.
         tasks_by_id: The same tasks by id.
         deadline_ms: When the caller's timeout ends, in the entry's time.
+        partition: The partition that the job belongs to.
+        holds: Returns whether this entry holds the job's partition.
         state: Where the job stands.
         failure: Why the job has failed or was canceled.
+        forgotten: Whether the job is to be forgotten when it has ended, so
+            that it may be submitted again.
         ended: Completes when the job is no longer running.
     """
 
-    def __init__(self, submission: Submission, deadline_ms: int) -> None:
+    def __init__(
+        self,
+        submission: Submission,
+        deadline_ms: int,
+        partition: int = 0,
+        holds: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.submission = submission
+        self.partition = partition
+        self.holds = holds
         self.id = submission.job_id
         self.deadline_ms = deadline_ms
         self.tasks = [
@@ -92,6 +113,8 @@
             asyncio.get_running_loop().create_future()
         )
         self.ended_ms = 0
+        self.forgotten = False
+        self._kept: messages.Outcome | None = None
         self._open_tasks = len(self.tasks)
 
     def answer(self, task: Task, body: bytes) -> None:
@@ -110,9 +133,69 @@
         self.state = State.FAILED
         if kind is errors.Kind.CANCELED:
             self.state = State.CANCELED
-        self.failure = errors.Error(kind, detail, derive_ran(self.tasks))
+        ran = derive_ran(self.tasks, self.holds())
+        self.failure = errors.Error(kind, detail, ran)
+        self.ended.set_result(None)
+
+    def prove(self) -> None:
+        """Takes note that no unproven task was ever started."""
+        for task in self.tasks:
+            if task.phase is Phase.UNPROVEN:
+                task.phase = Phase.QUEUED
+
+    def adopt(self, outcome: messages.Outcome) -> None:
+        """Ends the job with the outcome that an earlier home entry kept."""
+        if self.state is not State.RUNNING:
+            return
+        self.state = State(outcome.state)
+        if outcome.code:
+            self.failure = errors.Error(
+                errors.Kind(outcome.code),
+                outcome.detail,
+                errors.Ran(outcome.ran),
+                outcome.retry_after_ms,
+            )
+        self._kept = outcome
         self.ended.set_result(None)
 
+    def settle(self) -> int:
+        """Drops all but the outcome of an ended job; returns its bytes."""
+        if self._kept is None:
+            self._kept = self.outcome()
+        self.tasks = []
+        self.tasks_by_id = {}
+        self.submission = dataclasses.replace(self.submission, tasks=())
+        return sum(len(body) for body in self._kept.answers)
+
+    def expire(self) -> None:
+        """Drops the answers of a settled job."""
+        if self.state is State.COMPLETE:
+            self.failure = errors.Error(
+                errors.Kind.ANSWER_EXPIRED,
+                "the job ran and its answers are no longer kept",
+                errors.Ran.YES,
+            )
+            self.state = State.FAILED
+            self._kept = None
+            self._kept = self.outcome()
+
+    def outcome(self) -> messages.Outcome:
+        """Returns where the job stands, for no request in particular."""
+        if self._kept is not None:
+            return self._kept
+        failure = self.failure
+        complete = self.state is State.COMPLETE
+        return messages.Outcome(
+            id=0,
+            job=self.id,
+            state=self.state.value,
+            answers=self.answers() if complete else (),
+            code=failure.kind.value if failure else "",
+            ran=failure.ran.value if failure else "",
+            detail=failure.detail if failure else "",
+            retry_after_ms=failure.retry_after_ms if failure else 0,
+        )
+
     def answers(self) -> tuple[bytes, ...]:
         """Returns the answers in task order; only for a complete job."""
         if self.state is not State.COMPLETE:
@@ -120,30 +203,25 @@
         return tuple(task.body for task in self.tasks)
 
 
-def derive_ran(tasks: list[Task]) -> errors.Ran:
-    """Returns what is known of a job's tasks: the one place that says it."""
+def derive_ran(tasks: list[Task], held: bool) -> errors.Ran:
+    """Returns what is known of a job's tasks: the one place that says it.
+
+    Args:
+        tasks: The tasks of the job.
+        held: Whether this entry alone could start them until now. Otherwise
+            another entry may have started what is still queued here.
+    """
     phases = {task.phase for task in tasks}
     if phases & {Phase.ANSWERED, Phase.FAILED}:
         return errors.Ran.YES
-    if phases & {Phase.SENT, Phase.UNKNOWN}:
+    if not held or phases & {Phase.SENT, Phase.UNKNOWN, Phase.UNPROVEN}:
         return errors.Ran.UNKNOWN
     return errors.Ran.NO
 
 
 def to_outcome(job: Job, request_id: int) -> messages.Outcome:
     """Returns the message that tells a peer where a job stands."""
-    failure = job.failure
-    complete = job.state is State.COMPLETE
-    return messages.Outcome(
-        id=request_id,
-        job=job.id,
-        state=job.state.value,
-        answers=job.answers() if complete else (),
-        code=failure.kind.value if failure else "",
-        ran=failure.ran.value if failure else "",
-        detail=failure.detail if failure else "",
-        retry_after_ms=failure.retry_after_ms if failure else 0,
-    )
+    return dataclasses.replace(job.outcome(), id=request_id)
 
 
 def to_error_outcome(
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/leaserecords.py
@@ -0,0 +1,188 @@
+"""Records of the ownership stream, and their JSON form."""
+
+import dataclasses
+from typing import Any
+
+from sardineroute_core import messages
+
+STREAM = "ownership"
+
+
+class UnreadableRecord(Exception):
+    """Raised for a record that this version can't read."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """The process that holds a session, and where its peers reach it."""
+
+    id: str
+    incarnation: str
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Terms:
+    """What a session says of itself each time it renews.
+
+    Attributes:
+        lease_ms: How long the renewal is good for.
+        seen: The offset up to which its holder had read the stream.
+        solo: Whether jobs may have started that no other member knows.
+        leaving: Whether it takes no more partitions.
+        number: Counts the renewals; a late one with a lower number is void.
+    """
+
+    lease_ms: int
+    seen: int
+    solo: bool
+    leaving: bool = False
+    number: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    """Starts a session."""
+
+    session: str
+    member: Member
+    terms: Terms
+
+
+@dataclasses.dataclass(frozen=True)
+class Renewal:
+    """Renews a session; without effect once the session has ended."""
+
+    session: str
+    terms: Terms
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """Ends lapsed sessions, then takes partitions that nobody holds.
+
+    `ends` names for each session to end the offset of the renewal that the
+    claimant has waited out; a later renewal makes that end invalid.
+    """
+
+    session: str
+    ends: tuple[tuple[str, int], ...]
+    partitions: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Release:
+    """Gives partitions back; `holdings` are pairs of partition and epoch."""
+
+    session: str
+    holdings: tuple[tuple[int, int], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Leave:
+    """Ends a session of its own accord; its jobs are known to others."""
+
+    session: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Witness:
+    """Makes submissions known to all members, where none can be reached."""
+
+    session: str
+    marks: tuple[messages.JobMark, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """The state that the records before the offset `at` add up to."""
+
+    at: int
+    state: Any
+
+
+Record = Start | Renewal | Claim | Release | Leave | Witness | Snapshot
+
+_NAMES_BY_CLASS: dict[type[Any], str] = {
+    Start: "start",
+    Renewal: "renewal",
+    Claim: "claim",
+    Release: "release",
+    Leave: "leave",
+    Witness: "witness",
+    Snapshot: "snapshot",
+}
+
+
+def encode(record: Record) -> Any:
+    """Returns the JSON form of a record."""
+    data: dict[str, Any] = {"type": _NAMES_BY_CLASS[type(record)]}
+    if isinstance(record, Witness):
+        marks = [
+            [mark.job_id, mark.digest.hex(), mark.keep_ms]
+            for mark in record.marks
+        ]
+        return data | {"session": record.session, "marks": marks}
+    return data | dataclasses.asdict(record)
+
+
+def decode(data: Any) -> Record:
+    """Returns the record of its JSON form.
+
+    Raises:
+        UnreadableRecord: It is not a record of the ownership stream.
+    """
+    try:
+        return _decode(data)
+    except (KeyError, TypeError, ValueError) as error:
+        raise UnreadableRecord(repr(error)) from error
+
+
+def _decode(data: Any) -> Record:
+    name = data["type"]
+    if name == "snapshot":
+        return Snapshot(int(data["at"]), data["state"])
+    session = str(data["session"])
+    if name == "start":
+        member = decode_member(data["member"])
+        return Start(session, member, decode_terms(data["terms"]))
+    if name == "renewal":
+        return Renewal(session, decode_terms(data["terms"]))
+    if name == "claim":
+        ends = tuple((str(ended), int(at)) for ended, at in data["ends"])
+        return Claim(session, ends, tuple(map(int, data["partitions"])))
+    if name == "release":
+        pairs = [(int(item), int(epoch)) for item, epoch in data["holdings"]]
+        return Release(session, tuple(pairs))
+    if name == "leave":
+        return Leave(session)
+    if name == "witness":
+        return Witness(session, tuple(_mark(item) for item in data["marks"]))
+    raise ValueError(f"unknown type {name!r}")
+
+
+def decode_member(data: Any) -> Member:
+    """Returns the member of its JSON form."""
+    return Member(
+        str(data["id"]),
+        str(data["incarnation"]),
+        str(data["host"]),
+        int(data["port"]),
+    )
+
+
+def decode_terms(data: Any) -> Terms:
+    """Returns the terms of their JSON form."""
+    return Terms(
+        int(data["lease_ms"]),
+        int(data["seen"]),
+        bool(data["solo"]),
+        bool(data["leaving"]),
+        int(data["number"]),
+    )
+
+
+def _mark(item: Any) -> messages.JobMark:
+    job_id, digest, keep_ms = item
+    return messages.JobMark(str(job_id), bytes.fromhex(digest), int(keep_ms))
--- a/packages/daemon/src/sardinerouted/entry/links.py
+++ b/packages/daemon/src/sardinerouted/entry/links.py
@@ -9,7 +9,7 @@
 from sardineroute_core import streams
 from sardinerouted.entry import backends
 from sardinerouted.entry import dispatch
-from sardinerouted.entry import ownership
+from sardinerouted.entry import questions
 
 _RECONNECT_MIN_MS = 50
 _RECONNECT_MAX_MS = 2_000
@@ -22,8 +22,8 @@
     options: settings.Streams,
     identity: streams.Identity,
     time: clock.Clock,
-    owned: ownership.Ownership,
     dispatcher: dispatch.Dispatcher,
+    asked: questions.Questions,
 ) -> None:
     """Keeps a stream to one sidecar until the task is canceled."""
     address = settings.Address.model_validate(
@@ -38,24 +38,34 @@
             retry_ms = min(retry_ms * 2, _RECONNECT_MAX_MS)
             continue
         retry_ms = _RECONNECT_MIN_MS
-        await _serve(server, connection, owned, dispatcher)
+        await _serve(server, connection, dispatcher, asked)
 
 
 async def watch_silence(
     servers_by_id: dict[str, backends.BackendServer],
     silence_ms: int,
+    unreachable_ms: int,
     time: clock.Clock,
+    dispatcher: dispatch.Dispatcher,
 ) -> None:
     """Closes streams that stay silent while an answer is awaited.
 
     A stream silent for `silence_ms` gets a ping; one that stays silent for as
-    long again is closed, and its tasks are asked after on a new one.
+    long again is closed, and its tasks are asked after on a new one. Tasks
+    of a sidecar that can't be reached for `unreachable_ms` are given up: it
+    is then unknown whether they ran.
     """
+    reached_ms_by_id: dict[str, int] = {}
     while True:
         await asyncio.sleep(silence_ms / 4_000)
         now_ms = time.now_ms()
         for server in list(servers_by_id.values()):
             _check_silence(server, silence_ms, now_ms)
+            if server.connection is not None or not server.tasks_by_id:
+                reached_ms_by_id[server.id] = now_ms
+            reached_ms = reached_ms_by_id.setdefault(server.id, now_ms)
+            if now_ms - reached_ms > unreachable_ms:
+                dispatcher.lose(server)
 
 
 def _check_silence(
@@ -76,18 +86,19 @@
 async def _serve(
     server: backends.BackendServer,
     connection: streams.Connection,
-    owned: ownership.Ownership,
     dispatcher: dispatch.Dispatcher,
+    asked: questions.Questions,
 ) -> None:
     if connection.peer.incarnation != server.announcement.incarnation:
         # The sidecar has restarted and its new announcement is on its way.
+        asked.note_gone(server)
         dispatcher.lose(server)
     server.connected(connection)
-    _ask_after_tasks(server, connection, owned)
+    _ask_after_tasks(server, connection)
     dispatcher.pump()
     try:
         async for message in connection.receive():
-            _take(server, dispatcher, message)
+            _take(server, dispatcher, asked, message)
     except streams.ConnectionLost as error:
         _log.warning("A stream was lost.", worker=server.id, why=str(error))
     finally:
@@ -95,24 +106,29 @@
 
 
 def _ask_after_tasks(
-    server: backends.BackendServer,
-    connection: streams.Connection,
-    owned: ownership.Ownership,
+    server: backends.BackendServer, connection: streams.Connection
 ) -> None:
     for task in server.tasks_by_id.values():
-        grant = owned.grant_of(task.job.id)
-        if grant is not None:
-            ask = messages.Ask((task.id,), grant.partition, grant.epoch)
-            connection.send(ask)
+        connection.send(
+            messages.Ask(
+                (task.id,),
+                task.job.partition,
+                task.epoch,
+                task.attempt,
+            )
+        )
 
 
 def _take(
     server: backends.BackendServer,
     dispatcher: dispatch.Dispatcher,
+    asked: questions.Questions,
     message: object,
 ) -> None:
     if isinstance(message, messages.Result | messages.Running):
         dispatcher.take(server, message)
+    elif isinstance(message, messages.PartitionTasks):
+        asked.take(message)
     elif isinstance(message, messages.Pong):
         server.observe_tick(message.tick_ms)
     elif isinstance(message, messages.Leaving):
--- a/packages/daemon/src/sardinerouted/entry/peers.py
+++ b/packages/daemon/src/sardinerouted/entry/peers.py
@@ -1,4 +1,4 @@
-"""Streams between entries: calls to a home entry, and serving them."""
+"""Streams between entries: calls to another entry, and serving them."""
 
 import asyncio
 import dataclasses
@@ -11,7 +11,9 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
-from sardinerouted import membership
+from sardinerouted.entry import leaserecords
+
+_FORGET_AFTER = 1_024
 
 
 class Peer:
@@ -19,12 +21,12 @@
 
     def __init__(
         self,
-        announcement: membership.Announcement,
+        address: settings.Address,
         options: settings.Streams,
         identity: streams.Identity,
         time: clock.Clock,
     ) -> None:
-        self.announcement = announcement
+        self._address = address
         self._options = options
         self._identity = identity
         self._clock = time
@@ -32,19 +34,21 @@
         self._opening = asyncio.Lock()
         self._reader: asyncio.Task[None] | None = None
         self._ids = itertools.count(1)
-        self._answers_by_id: dict[int, asyncio.Future[messages.Outcome]] = {}
+        self._answers_by_id: dict[int, asyncio.Future[Any]] = {}
 
-    async def call(self, request: Any) -> messages.Outcome:
-        """Returns the peer's answer to a `Submit`, `Lookup` or `Cancel`.
+    async def call(self, request: Any) -> Any:
+        """Returns the peer's answer to a message that has an `id`.
 
         Raises:
             ConnectionLost: The stream broke; the request may have arrived.
+            NotSent: No stream could be opened; it has not arrived.
         """
-        connection = await self._open()
+        try:
+            connection = await self._open()
+        except streams.ConnectionLost as error:
+            raise NotSent(str(error)) from error
         request_id = next(self._ids)
-        answer: asyncio.Future[messages.Outcome] = (
-            asyncio.get_running_loop().create_future()
-        )
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._answers_by_id[request_id] = answer
         try:
             connection.send(dataclasses.replace(request, id=request_id))
@@ -58,10 +62,8 @@
             self._connection.close()
 
     async def _wait(
-        self,
-        connection: streams.Connection,
-        answer: asyncio.Future[messages.Outcome],
-    ) -> messages.Outcome:
+        self, connection: streams.Connection, answer: asyncio.Future[Any]
+    ) -> Any:
         # A silent stream is noticed only while an answer is awaited.
         silence_ms = self._options.silence_ms
         asked_ms = self._clock.now_ms()
@@ -80,14 +82,8 @@
     async def _open(self) -> streams.Connection:
         async with self._opening:
             if self._connection is None or self._connection.closed:
-                address = settings.Address.model_validate(
-                    {
-                        "host": self.announcement.host,
-                        "port": self.announcement.port,
-                    }
-                )
                 self._connection = await streams.connect(
-                    address, self._options, self._identity, self._clock
+                    self._address, self._options, self._identity, self._clock
                 )
                 self._reader = asyncio.create_task(self._read(self._connection))
             return self._connection
@@ -96,10 +92,11 @@
         lost = streams.ConnectionLost("closed")
         try:
             async for message in connection.receive():
-                if isinstance(message, messages.Outcome):
-                    answer = self._answers_by_id.get(message.id)
-                    if answer is not None and not answer.done():
-                        answer.set_result(message)
+                answer = self._answers_by_id.get(getattr(message, "id", 0))
+                if isinstance(message, messages.Pong) or answer is None:
+                    continue
+                if not answer.done():
+                    answer.set_result(message)
         except streams.ConnectionLost as error:
             lost = error
         finally:
@@ -111,10 +108,52 @@
                         answer.set_exception(lost)
 
 
+class NotSent(streams.ConnectionLost):
+    """Raised when a request provably did not reach the peer."""
+
+
+class Peers:
+    """The streams to the other entries, by their address."""
+
+    def __init__(
+        self,
+        options: settings.Streams,
+        identity: streams.Identity,
+        time: clock.Clock,
+    ) -> None:
+        self._options = options
+        self._identity = identity
+        self._clock = time
+        self._peers_by_address: dict[tuple[str, int], Peer] = {}
+
+    def of(self, member: leaserecords.Member) -> Peer:
+        """Returns the stream to a member's address."""
+        address = (member.host, member.port)
+        peer = self._peers_by_address.get(address)
+        if peer is None:
+            model = settings.Address.model_validate(
+                {"host": member.host, "port": member.port}
+            )
+            peer = Peer(model, self._options, self._identity, self._clock)
+            self._peers_by_address[address] = peer
+            self._forget_oldest()
+        return peer
+
+    def close(self) -> None:
+        """Closes all streams."""
+        for peer in self._peers_by_address.values():
+            peer.close()
+
+    def _forget_oldest(self) -> None:
+        while len(self._peers_by_address) > _FORGET_AFTER:
+            oldest = next(iter(self._peers_by_address))
+            self._peers_by_address.pop(oldest).close()
+
+
 async def serve_peer(
     connection: streams.Connection,
     time: clock.Clock,
-    execute: Callable[[Any], Awaitable[messages.Outcome]],
+    execute: Callable[[streams.Identity, Any], Awaitable[Any]],
 ) -> None:
     """Answers one peer's calls until its stream is closed.
 
@@ -124,14 +163,12 @@
     calls: set[asyncio.Task[None]] = set()
 
     async def answer(request: Any) -> None:
-        connection.send(await execute(request))
+        connection.send(await execute(connection.peer, request))
 
     async for message in connection.receive():
         if isinstance(message, messages.Ping):
             connection.send(messages.Pong(message.id, time.now_ms()))
-        elif isinstance(
-            message, messages.Submit | messages.Lookup | messages.Cancel
-        ):
-            call = asyncio.create_task(answer(message))
-            calls.add(call)
-            call.add_done_callback(calls.discard)
+            continue
+        call = asyncio.create_task(answer(message))
+        calls.add(call)
+        call.add_done_callback(calls.discard)
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -2,24 +2,19 @@
 
 import asyncio
 
-from sardineroute_core import clock
-from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import platformlog
-from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted import httpd
 from sardinerouted import membership
 from sardinerouted import signals
-from sardinerouted.entry import backends
+from sardinerouted.entry import assembly
 from sardinerouted.entry import calls
-from sardinerouted.entry import dispatch
 from sardinerouted.entry import front
-from sardinerouted.entry import jobs
+from sardinerouted.entry import leaving
 from sardinerouted.entry import links
-from sardinerouted.entry import ownership
 from sardinerouted.entry import peers
 from sardinerouted.entry import roster
 from sardinerouted.entry import state as entry_state
@@ -34,8 +29,8 @@
 
 
 async def _main(options: settings.Entry) -> int:
-    state = _new_state(options)
     log = platformlog.PlatformLog(options.log)
+    state = assembly.new_state(options, log)
     fleet = roster.Roster(state)
     server = await streams.serve(
         options.streams, state.identity, state.clock, _peer_handler(state)
@@ -47,9 +42,15 @@
         asyncio.create_task(membership.publish(log, _announcement(state))),
         asyncio.create_task(
             links.watch_silence(
-                state.servers_by_id, options.streams.silence_ms, state.clock
+                state.servers_by_id,
+                options.streams.silence_ms,
+                options.streams.unreachable_ms,
+                state.clock,
+                state.dispatcher,
             )
         ),
+        asyncio.create_task(state.keeper.run()),
+        asyncio.create_task(assembly.clear_solo(state)),
     ]
     httpd.start(
         front.build(state, asyncio.get_running_loop()),
@@ -66,28 +67,13 @@
     for task in background:
         task.cancel()
     fleet.close()
+    state.peers.close()
     server.close()
     log.close()
     _log.info("Stopped.")
     return 0
 
 
-def _new_state(options: settings.Entry) -> entry_state.EntryState:
-    time = clock.Clock()
-    identity = streams.Identity(options.id, messages.Role.ENTRY, ids.new_id())
-    owned = ownership.Ownership(options.id, options.ownership.partitions, time)
-    servers_by_id: dict[str, backends.BackendServer] = {}
-    return entry_state.EntryState(
-        options=options,
-        identity=identity,
-        clock=time,
-        ownership=owned,
-        dispatcher=dispatch.Dispatcher(time, servers_by_id, owned),
-        policy=policy.PolicyHolder(),
-        servers_by_id=servers_by_id,
-    )
-
-
 def _announcement(
     state: entry_state.EntryState,
 ) -> membership.Announcement:
@@ -110,7 +96,7 @@
         await peers.serve_peer(
             connection,
             state.clock,
-            lambda request: calls.answer(state, request),
+            lambda peer, request: calls.answer(state, peer, request),
         )
 
     return handle
@@ -125,15 +111,7 @@
     departure = membership.Departure(
         state.identity.id, messages.Role.ENTRY, state.identity.incarnation
     )
-    running = [
-        job.ended
-        for job in state.jobs_by_id.values()
-        if job.state is jobs.State.RUNNING
-    ]
-    if running:
-        await asyncio.wait(
-            running, timeout=state.options.drain_timeout_ms / 1_000
-        )
+    await leaving.hand_over(state)
     departing = asyncio.create_task(membership.publish(log, departure))
     await asyncio.wait(
         [departing], timeout=state.options.log.timeout_ms / 1_000
--- a/packages/daemon/src/sardinerouted/entry/queries.py
+++ b/packages/daemon/src/sardinerouted/entry/queries.py
@@ -3,6 +3,7 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
 from sardinerouted.entry import routing
 from sardinerouted.entry import state as entry_state
@@ -17,7 +18,7 @@
     return await routing.route(
         state,
         job_id,
-        request,
+        lambda: request,
         state.options.streams.silence_ms * 4,
         lambda: _show_here(state, team, key),
     )
@@ -31,9 +32,22 @@
     Raises:
         errors.Error: The job is not known (any more).
     """
-    job = state.jobs_by_id.get(ids.job_id(team, key))
+    job_id = ids.job_id(team, key)
+    job = state.jobs_by_id.get(job_id)
     if job is None:
-        raise errors.Error(errors.Kind.NOT_FOUND, "no such job is known")
+        raise commands.unknown_job(state, job_id)
+    return jobs.to_outcome(job, 0)
+
+
+def recall_here(state: entry_state.EntryState, job_id: str) -> messages.Outcome:
+    """Returns the kept outcome of a job that was at home here.
+
+    Raises:
+        errors.Error: It is not kept.
+    """
+    job = state.former_jobs_by_id.get(job_id)
+    if job is None:
+        raise errors.Error(errors.Kind.NOT_FOUND, "no such job is kept")
     return jobs.to_outcome(job, 0)
 
 
@@ -45,6 +59,4 @@
 
 def is_ready(state: entry_state.EntryState) -> bool:
     """Returns whether this entry takes requests."""
-    return not state.draining and (
-        state.identity.id in state.ownership.entries_by_id
-    )
+    return not state.draining and state.ownership.joined
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -0,0 +1,272 @@
+"""What a new holder of a partition must find out before it starts jobs.
+
+The other entries tell which submissions they know; where that proves nothing,
+the sidecars tell which tasks they have started.
+"""
+
+import asyncio
+import dataclasses
+import enum
+from collections.abc import Callable
+
+from sardineroute_core import errors
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardineroute_core import streams
+from sardinerouted.entry import jobs
+from sardinerouted.entry import leasefold
+from sardinerouted.entry import ownership
+from sardinerouted.entry import peers
+from sardinerouted.entry import questions
+from sardinerouted.entry import witness
+
+_SURVEY_TIMEOUT_MS = 500
+_RETRY_MS = 200
+_POLL_MS = 20
+
+_log = logs.part("recovery")
+
+
+class Standing(enum.Enum):
+    """What is known of a job that is not in this entry's memory."""
+
+    PENDING = "pending"
+    FRESH = "fresh"
+    KNOWN = "known"
+    DOUBTFUL = "doubtful"
+
+
+@dataclasses.dataclass
+class _Partition:
+    """What is known of the jobs of one partition held here.
+
+    Attributes:
+        epoch: The claim.
+        previous: The last holder, None where there never was one.
+        settled: Set when the other entries have been asked.
+        proven: Whether a job that nobody knows provably never started.
+        keepers_by_job: Entries that can tell the outcome of a job.
+        missing: Sessions that have not answered yet.
+        doubted_ms: When the doubt began.
+    """
+
+    epoch: int
+    previous: leasefold.Previous | None
+    settled: asyncio.Event
+    proven: bool
+    keepers_by_job: dict[str, leasefold.Session]
+    missing: set[str]
+    doubted_ms: int
+
+
+class Recovery:
+    """The standing of jobs in the partitions held here."""
+
+    def __init__(
+        self,
+        owned: ownership.Ownership,
+        table: witness.Table,
+        entries: peers.Peers,
+        asked: questions.Questions,
+        membership_read_ms: Callable[[], int],
+    ) -> None:
+        self._owned = owned
+        self._table = table
+        self._peers = entries
+        self._questions = asked
+        self._membership_read_ms = membership_read_ms
+        self._clock = owned.clock
+        self._horizon_ms = owned.options.retention_ms + jobs.MAX_TIMEOUT_MS
+        self._partitions: dict[int, _Partition] = {}
+        self._surveys: set[asyncio.Task[None]] = set()
+
+    def gained(self, gains: list[ownership.Gain]) -> None:
+        """Begins to find out about partitions that are now held here."""
+        to_ask: dict[int, _Partition] = {}
+        for gain in gains:
+            partition = _Partition(
+                epoch=gain.epoch,
+                previous=gain.previous,
+                settled=asyncio.Event(),
+                proven=gain.previous is None,
+                keepers_by_job={},
+                missing=set(),
+                doubted_ms=self._clock.now_ms(),
+            )
+            self._partitions[gain.partition] = partition
+            if gain.previous is None:
+                partition.settled.set()
+            else:
+                to_ask[gain.partition] = partition
+        if to_ask:
+            survey = asyncio.create_task(self._survey(to_ask))
+            self._surveys.add(survey)
+            survey.add_done_callback(self._surveys.discard)
+
+    def lost(self, partitions: set[int]) -> None:
+        """Forgets partitions that are no longer held here."""
+        for partition in partitions:
+            self._partitions.pop(partition, None)
+            self._questions.forget(partition)
+
+    def doubtful(self) -> tuple[int, ...]:
+        """Returns the partitions whose jobs are not all known here."""
+        oldest_ms = self._clock.now_ms() - self._horizon_ms
+        return tuple(
+            number
+            for number, partition in self._partitions.items()
+            if not partition.proven and partition.doubted_ms > oldest_ms
+        )
+
+    def standing(self, job_id: str) -> Standing:
+        """Returns what is known of a job that is not in memory."""
+        number = self._owned.partition_of(job_id)
+        partition = self._partitions.get(number)
+        if partition is None or not partition.settled.is_set():
+            return Standing.PENDING
+        if self._table.digest_of(job_id) is not None:
+            return Standing.KNOWN
+        if partition.proven or number not in self.doubtful():
+            return Standing.FRESH
+        return Standing.DOUBTFUL
+
+    async def settled(self, job_id: str) -> Standing:
+        """Returns a job's standing when the other entries were asked.
+
+        Raises:
+            errors.Error: The partition is not held here (any more).
+        """
+        while True:
+            number = self._owned.partition_of(job_id)
+            partition = self._partitions.get(number)
+            if partition is None:
+                raise errors.Error(
+                    errors.Kind.NOT_OWNER,
+                    "the lease on this job was lost",
+                    errors.Ran.UNKNOWN,
+                )
+            await partition.settled.wait()
+            if self._partitions.get(number) is partition:
+                return self.standing(job_id)
+
+    async def rebuild(self, job: jobs.Job) -> None:
+        """Finds out about the tasks of a job that may have been started.
+
+        Afterwards the job has ended, or its tasks are answered, attached
+        where they run, or proven not to have started.
+        """
+        partition = self._partitions.get(self._owned.partition_of(job.id))
+        if partition is None:
+            return
+        if await self._recall(job, partition):
+            return
+        await self._read_membership(job, partition)
+        found = await self._questions.find(job, partition.epoch)
+        if job.state is not jobs.State.RUNNING:
+            return
+        if found.complete:
+            job.prove()
+            return
+        unproven = [
+            task for task in job.tasks if task.phase is jobs.Phase.UNPROVEN
+        ]
+        for task in unproven:
+            task.phase = jobs.Phase.UNKNOWN
+        if unproven:
+            job.forgotten = not found.settled
+            job.fail(errors.Kind.OUTCOME_UNKNOWN, found.detail)
+
+    async def _read_membership(
+        self, job: jobs.Job, partition: _Partition
+    ) -> None:
+        # Sidecars that an earlier holder knew must be known here too.
+        while self._membership_read_ms() <= partition.doubted_ms:
+            if job.state is not jobs.State.RUNNING:
+                return
+            await asyncio.sleep(_POLL_MS / 1_000)
+
+    async def _recall(self, job: jobs.Job, partition: _Partition) -> bool:
+        keeper = partition.keepers_by_job.get(job.id)
+        if keeper is None:
+            return False
+        try:
+            peer = self._peers.of(keeper.member)
+            outcome = await peer.call(messages.Recall(0, job.id))
+        except streams.ConnectionLost:
+            return False
+        if not isinstance(outcome, messages.Outcome):
+            return False
+        if outcome.code in (errors.Kind.NOT_FOUND, errors.Kind.ANSWER_EXPIRED):
+            return False
+        job.adopt(outcome)
+        return True
+
+    async def _survey(self, partitions: dict[int, _Partition]) -> None:
+        sessions = self._owned.others()
+        for partition in partitions.values():
+            partition.missing = {session.id for session in sessions}
+        asking = {
+            asyncio.create_task(self._survey_one(session, partitions))
+            for session in sessions
+        }
+        if asking:
+            await asyncio.wait(asking, timeout=_SURVEY_TIMEOUT_MS / 1_000)
+        for partition in partitions.values():
+            partition.settled.set()
+        if asking:
+            await asyncio.wait(asking)
+
+    async def _survey_one(
+        self,
+        session: leasefold.Session,
+        partitions: dict[int, _Partition],
+    ) -> None:
+        numbers = tuple(partitions)
+        while session.id in self._owned.fold.sessions_by_id:
+            try:
+                peer = self._peers.of(session.member)
+                answer = await peer.call(messages.Survey(0, numbers))
+            except streams.ConnectionLost:
+                answer = None
+            if isinstance(answer, messages.Surveyed):
+                self._learn(session, partitions, answer)
+                return
+            await asyncio.sleep(_RETRY_MS / 1_000)
+
+    def _learn(
+        self,
+        session: leasefold.Session,
+        partitions: dict[int, _Partition],
+        answer: messages.Surveyed,
+    ) -> None:
+        if answer.incarnation != session.member.incarnation:
+            return
+        for mark in answer.marks:
+            self._table.remember(mark)
+        for job_id in answer.kept:
+            number = self._owned.partition_of(job_id)
+            if number in partitions:
+                partitions[number].keepers_by_job[job_id] = session
+        for number, partition in partitions.items():
+            partition.missing.discard(session.id)
+            if number in answer.doubtful:
+                partition.missing.add(f"doubt of {session.id}")
+        for partition in partitions.values():
+            self._judge(partition, answer)
+
+    def _judge(self, partition: _Partition, answer: messages.Surveyed) -> None:
+        if partition.missing or partition.previous is None:
+            return
+        owned = self._owned
+        previous = partition.previous
+        if previous.solo and not owned.is_member(previous.incarnation):
+            return
+        old_before = max(
+            answer.losses_before, owned.old_losses_before(self._horizon_ms)
+        )
+        partition.proven = not any(
+            loss.offset >= old_before
+            and loss.incarnation != previous.incarnation
+            and not owned.is_member(loss.incarnation)
+            for loss in owned.fold.losses
+        )
--- a/packages/daemon/src/sardinerouted/entry/roster.py
+++ b/packages/daemon/src/sardinerouted/entry/roster.py
@@ -8,7 +8,6 @@
 from sardinerouted import membership
 from sardinerouted.entry import backends
 from sardinerouted.entry import links
-from sardinerouted.entry import peers
 from sardinerouted.entry import state as entry_state
 
 _log = logs.part("roster")
@@ -37,15 +36,13 @@
                 self._remove(change)
             elif change.role is messages.Role.SIDECAR:
                 self._add_sidecar(change)
-            else:
-                self._add_entry(change)
+        if len(batch.records) < platformlog.READ_LIMIT:
+            self._state.membership_read_ms = self._state.clock.now_ms()
 
     def close(self) -> None:
-        """Ends the links to all sidecars and entries."""
+        """Ends the links to all sidecars."""
         for link in self._links_by_id.values():
             link.cancel()
-        for peer in self._state.peers_by_id.values():
-            peer.close()
 
     def _add_sidecar(self, change: membership.Announcement) -> None:
         state = self._state
@@ -62,23 +59,11 @@
                 state.options.streams,
                 state.identity,
                 state.clock,
-                state.ownership,
                 state.dispatcher,
+                state.questions,
             )
         )
 
-    def _add_entry(self, change: membership.Announcement) -> None:
-        state = self._state
-        state.ownership.entries_by_id[change.id] = change
-        if change.id == state.identity.id:
-            return
-        known = state.peers_by_id.get(change.id)
-        if known is not None:
-            known.close()
-        state.peers_by_id[change.id] = peers.Peer(
-            change, state.options.streams, state.identity, state.clock
-        )
-
     def _remove(self, change: membership.Departure) -> None:
         state = self._state
         server = state.servers_by_id.get(change.id)
@@ -87,16 +72,11 @@
             and server.announcement.incarnation == change.incarnation
         ):
             self._drop_sidecar(server)
-        entry = state.ownership.entries_by_id.get(change.id)
-        if entry is not None and entry.incarnation == change.incarnation:
-            del state.ownership.entries_by_id[change.id]
-            peer = state.peers_by_id.pop(change.id, None)
-            if peer is not None:
-                peer.close()
 
     def _drop_sidecar(self, server: backends.BackendServer) -> None:
         self._state.servers_by_id.pop(server.id, None)
         link = self._links_by_id.pop(server.id, None)
         if link is not None:
             link.cancel()
+        self._state.questions.note_gone(server)
         self._state.dispatcher.lose(server)
--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -1,5 +1,7 @@
 """The state of an entry that its commands change and its queries read."""
 
+import asyncio
+import collections
 import dataclasses
 
 from sardineroute_core import clock
@@ -9,13 +11,42 @@
 from sardinerouted.entry import backends
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import jobs
+from sardinerouted.entry import keeper
+from sardinerouted.entry import kept
 from sardinerouted.entry import ownership
 from sardinerouted.entry import peers
+from sardinerouted.entry import questions
+from sardinerouted.entry import recovery
+from sardinerouted.entry import witness
 
 
 @dataclasses.dataclass
 class EntryState:
-    """All that an entry knows; used from its event loop only."""
+    """All that an entry knows; used from its event loop only.
+
+    Attributes:
+        options: The settings.
+        identity: What this entry tells its peers.
+        clock: The monotonic time.
+        ownership: Which entry is home to which partition.
+        dispatcher: The tasks queued and sent.
+        policy: The configuration in force.
+        servers_by_id: The backend servers announced.
+        peers: The streams to other entries.
+        table: The submissions that are remembered.
+        desk: Has other entries remember submissions.
+        keeper: Keeps our session in the log.
+        recovery: What is known of jobs after a takeover.
+        questions: Questions to sidecars.
+        kept: The ended jobs.
+        jobs_by_id: The jobs at home here.
+        former_jobs_by_id: Ended jobs that were at home here before.
+        forwarded_by_job: Submissions under way to their home, by job.
+        preparing: Jobs that are about to start.
+        membership_read_ms: When the membership stream was last read to its
+            end.
+        draining: Whether this entry is shutting down.
+    """
 
     options: settings.Entry
     identity: streams.Identity
@@ -24,6 +55,18 @@
     dispatcher: dispatch.Dispatcher
     policy: policy.PolicyHolder
     servers_by_id: dict[str, backends.BackendServer]
-    peers_by_id: dict[str, peers.Peer] = dataclasses.field(default_factory=dict)
-    jobs_by_id: dict[str, jobs.Job] = dataclasses.field(default_factory=dict)
+    peers: peers.Peers
+    table: witness.Table
+    desk: witness.Desk
+    keeper: keeper.Keeper
+    recovery: recovery.Recovery
+    questions: questions.Questions
+    kept: kept.Kept
+    jobs_by_id: dict[str, jobs.Job]
+    former_jobs_by_id: dict[str, jobs.Job]
+    forwarded_by_job: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    preparing: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    membership_read_ms: int = 0
     draining: bool = False
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/witness.py
@@ -0,0 +1,206 @@
+"""Remembers submissions, so that a second entry knows each before it starts."""
+
+import asyncio
+import heapq
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from sardineroute_core import clock
+from sardineroute_core import ids
+from sardineroute_core import logs
+from sardineroute_core import messages
+from sardineroute_core import streams
+from sardinerouted.entry import leasefold
+from sardinerouted.entry import leaserecords
+from sardinerouted.entry import ownership
+from sardinerouted.entry import peers
+
+MAX_MARKS = 200_000
+_PUSH_MARKS = 5_000
+_ACK_TIMEOUT_MS = 250
+_AVOID_MS = 5_000
+
+Commit = Callable[[leaserecords.Record, int], Awaitable[bool]]
+
+_log = logs.part("witness")
+
+
+class Table:
+    """The submissions that this entry knows, its own included."""
+
+    def __init__(self, time: clock.Clock, max_marks: int = MAX_MARKS) -> None:
+        self._clock = time
+        self._max_marks = max_marks
+        self._digests_by_job: dict[str, bytes] = {}
+        self._expires_ms_by_job: dict[str, int] = {}
+        self._expiry: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._digests_by_job)
+
+    def remember(self, mark: messages.JobMark) -> bool:
+        """Remembers a submission; returns False where there is no room."""
+        self._expire()
+        known = mark.job_id in self._digests_by_job
+        if not known and len(self._digests_by_job) >= self._max_marks:
+            return False
+        expires_ms = self._clock.now_ms() + mark.keep_ms
+        if expires_ms > self._expires_ms_by_job.get(mark.job_id, 0):
+            self._expires_ms_by_job[mark.job_id] = expires_ms
+            heapq.heappush(self._expiry, (expires_ms, mark.job_id))
+        self._digests_by_job.setdefault(mark.job_id, mark.digest)
+        return True
+
+    def forget(self, job_id: str) -> None:
+        """Forgets a submission that provably never started."""
+        self._digests_by_job.pop(job_id, None)
+        self._expires_ms_by_job.pop(job_id, None)
+
+    def digest_of(self, job_id: str) -> bytes | None:
+        """Returns the digest of a known submission's body."""
+        self._expire()
+        return self._digests_by_job.get(job_id)
+
+    def marks(self) -> list[messages.JobMark]:
+        """Returns all that is known, with the time left to remember it."""
+        self._expire()
+        now_ms = self._clock.now_ms()
+        return [
+            messages.JobMark(
+                job_id, digest, self._expires_ms_by_job[job_id] - now_ms
+            )
+            for job_id, digest in self._digests_by_job.items()
+        ]
+
+    def marks_in(
+        self, partitions: Iterable[int], count: int
+    ) -> list[messages.JobMark]:
+        """Returns what is known of some of `count` partitions."""
+        wanted = set(partitions)
+        return [
+            mark
+            for mark in self.marks()
+            if ids.partition_of(mark.job_id, count) in wanted
+        ]
+
+    def _expire(self) -> None:
+        now_ms = self._clock.now_ms()
+        while self._expiry and self._expiry[0][0] <= now_ms:
+            expires_ms, job_id = heapq.heappop(self._expiry)
+            if self._expires_ms_by_job.get(job_id) == expires_ms:
+                del self._expires_ms_by_job[job_id]
+                del self._digests_by_job[job_id]
+
+
+class Desk:
+    """Has other entries remember the jobs that are about to start here."""
+
+    def __init__(
+        self,
+        owned: ownership.Ownership,
+        table: Table,
+        entries: peers.Peers,
+        commit: Commit,
+    ) -> None:
+        self._owned = owned
+        self._table = table
+        self._peers = entries
+        self._commit = commit
+        self._clock = owned.clock
+        self._batch: list[messages.JobMark] = []
+        self._sending: asyncio.Task[bool] | None = None
+        self._avoid_until_ms_by_session: dict[str, int] = {}
+        self._clearing = False
+
+    async def confirm(self, mark: messages.JobMark, timeout_ms: int) -> bool:
+        """Returns whether a second entry knows a submission, or none exists.
+
+        Submissions of one iteration of the event loop go in one message.
+        """
+        end_ms = self._clock.now_ms() + timeout_ms
+        while self._clock.now_ms() < end_ms:
+            if self._is_alone():
+                return True
+            if await asyncio.shield(self._send_with_others(mark)):
+                return True
+            await asyncio.sleep(_ACK_TIMEOUT_MS / 1_000)
+        return False
+
+    async def push(self, copies: int) -> bool:
+        """Has other entries remember all that is known here.
+
+        Returns:
+            Whether as many have it as asked for, or all that there are.
+        """
+        sessions = self._candidates()
+        marks = self._table.marks()
+        done = 0
+        for session in sessions:
+            if done < copies and await self._push_to(session, marks):
+                done += 1
+        return done >= min(copies, len(sessions))
+
+    async def clear_solo(self) -> None:
+        """Passes on what only this entry knows, when others have come."""
+        owned = self._owned
+        if not owned.solo or self._clearing or not owned.others_alive():
+            return
+        self._clearing = True
+        try:
+            if await self.push(copies=1):
+                owned.solo = False
+        finally:
+            self._clearing = False
+
+    def _is_alone(self) -> bool:
+        owned = self._owned
+        return not owned.others() and owned.solo_declared
+
+    def _send_with_others(self, mark: messages.JobMark) -> asyncio.Task[bool]:
+        if not self._batch or self._sending is None:
+            self._sending = asyncio.create_task(self._send_batch())
+        self._batch.append(mark)
+        return self._sending
+
+    async def _send_batch(self) -> bool:
+        marks = tuple(self._batch)
+        self._batch = []
+        for session in self._candidates():
+            if await self._send(session, marks):
+                return True
+        _log.warning("No other entry was reached as witness.")
+        record = leaserecords.Witness(self._owned.own.session, marks)
+        return await self._commit(record, self._owned.options.lease_ms)
+
+    async def _push_to(
+        self, session: leasefold.Session, marks: list[messages.JobMark]
+    ) -> bool:
+        for start in range(0, len(marks), _PUSH_MARKS):
+            part = tuple(marks[start : start + _PUSH_MARKS])
+            if not await self._send(session, part):
+                return False
+        return True
+
+    async def _send(
+        self, session: leasefold.Session, marks: tuple[messages.JobMark, ...]
+    ) -> bool:
+        try:
+            async with asyncio.timeout(_ACK_TIMEOUT_MS / 1_000):
+                peer = self._peers.of(session.member)
+                answer = await peer.call(messages.Witness(0, marks))
+        except (streams.ConnectionLost, TimeoutError):
+            until_ms = self._clock.now_ms() + _AVOID_MS
+            self._avoid_until_ms_by_session[session.id] = until_ms
+            return False
+        return isinstance(answer, messages.Witnessed) and answer.accepted
+
+    def _candidates(self) -> list[leasefold.Session]:
+        now_ms = self._clock.now_ms()
+        avoid = self._avoid_until_ms_by_session
+        sessions = [
+            session
+            for session in self._owned.others_alive()
+            if avoid.get(session.id, 0) <= now_ms
+        ]
+        return sorted(sessions, key=lambda item: item.terms.leaving)
--- a/packages/daemon/src/sardinerouted/sidecar/guard.py
+++ b/packages/daemon/src/sardinerouted/sidecar/guard.py
@@ -3,10 +3,14 @@
 import collections
 import dataclasses
 import enum
+import heapq
 
 from sardineroute_core import clock
 from sardineroute_core import messages
 
+MAX_ANSWER_BYTES = 33_554_432
+_KEEP_MARGIN_MS = 1_000
+
 
 class Phase(enum.Enum):
     """Where a task known to the guard stands."""
@@ -18,9 +22,15 @@
 
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
-    """What the guard keeps of one task for the retention period."""
+    """What the guard keeps of one task for the retention period.
+
+    A fenced task is refused up to this epoch and attempt.
+    """
 
     id: str
+    partition: int
+    epoch: int
+    attempt: int
     digest: bytes
     phase: Phase
     expires_ms: int
@@ -46,13 +56,22 @@
     """Remembers each task that was started or fenced here."""
 
     def __init__(
-        self, time: clock.Clock, retention_ms: int, max_tasks: int
+        self,
+        time: clock.Clock,
+        retention_ms: int,
+        max_tasks: int,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self._clock = time
         self._retention_ms = retention_ms
         self._max_tasks = max_tasks
+        self._max_answer_bytes = max_answer_bytes
+        self._answer_bytes = 0
         self._records_by_id: dict[str, TaskRecord] = {}
-        self._expiry: collections.deque[tuple[int, str]] = collections.deque()
+        self._task_ids_by_job: dict[str, set[str]] = {}
+        self._jobs_by_partition: dict[int, set[str]] = {}
+        self._expiry: list[tuple[int, str]] = []
+        self._answered: collections.deque[str] = collections.deque()
         self._epochs_by_partition: dict[int, int] = {}
 
     def __len__(self) -> int:
@@ -68,18 +87,37 @@
         known = self._records_by_id.get(start.task_id)
         if known is not None and known.phase is not Phase.FENCED:
             return Decision(accepted=False, known=known)
-        if known is not None or not self._is_current(start):
+        if not self._is_current(start) or _is_fenced(known, start):
             return _refused(messages.TaskOutcome.REFUSED_FENCED)
         if len(self._records_by_id) >= self._max_tasks:
             return _refused(messages.TaskOutcome.REFUSED_FULL)
-        self._remember(start.task_id, start.digest, Phase.ACCEPTED)
+        self._remember(start, Phase.ACCEPTED)
         return Decision(accepted=True)
 
-    def fence(self, task_id: str) -> None:
-        """Makes sure that a task never seen here will not start later."""
+    def fence(self, start: messages.Start) -> None:
+        """Makes sure that this start, or an earlier one, comes to nothing."""
+        self._expire()
+        known = self._records_by_id.get(start.task_id)
+        if known is not None and known.phase is not Phase.FENCED:
+            return
+        if not _is_fenced(known, start):
+            self._remember(start, Phase.FENCED)
+
+    def fence_partition(self, partition: int, epoch: int) -> None:
+        """Refuses all starts of a partition with a lower epoch from now on."""
+        newest = self._epochs_by_partition.get(partition, 0)
+        self._epochs_by_partition[partition] = max(newest, epoch)
+
+    def jobs_in(self, partition: int) -> tuple[str, ...]:
+        """Returns the ids of the jobs with tasks that were started here."""
         self._expire()
-        if task_id not in self._records_by_id:
-            self._remember(task_id, b"", Phase.FENCED)
+        return tuple(self._jobs_by_partition.get(partition, ()))
+
+    def tasks_of(self, job_id: str) -> list[TaskRecord]:
+        """Returns the tasks of a job that were started here."""
+        self._expire()
+        task_ids = self._task_ids_by_job.get(job_id, ())
+        return [self._records_by_id[task_id] for task_id in task_ids]
 
     def end(self, result: messages.Result) -> None:
         """Keeps the result of a task that was started."""
@@ -88,10 +126,19 @@
             return
         record.phase = Phase.ENDED
         record.result = result
+        self._answer_bytes += len(result.body)
+        self._answered.append(result.task_id)
+        while self._answer_bytes > self._max_answer_bytes:
+            self._drop_answer(self._answered.popleft())
 
     def forget(self, task_id: str) -> None:
         """Forgets a task that was accepted and provably not started."""
-        self._records_by_id.pop(task_id, None)
+        record = self._records_by_id.pop(task_id, None)
+        if record is None:
+            return
+        if record.result is not None:
+            self._answer_bytes -= len(record.result.body)
+        self._unindex(record)
 
     def _is_current(self, start: messages.Start) -> bool:
         if self._clock.now_ms() > start.valid_until_ms:
@@ -102,25 +149,75 @@
         self._epochs_by_partition[start.partition] = start.epoch
         return True
 
-    def _remember(self, task_id: str, digest: bytes, phase: Phase) -> None:
-        expires_ms = self._clock.now_ms() + self._retention_ms
-        record = TaskRecord(task_id, digest, phase, expires_ms)
-        self._records_by_id[task_id] = record
-        self._expiry.append((expires_ms, task_id))
+    def _remember(self, start: messages.Start, phase: Phase) -> None:
+        # Kept at least as long as any entry remembers the job.
+        keep_ms = self._retention_ms + start.timeout_ms
+        keep_ms += keep_ms // 100 + _KEEP_MARGIN_MS
+        expires_ms = self._clock.now_ms() + keep_ms
+        record = TaskRecord(
+            start.task_id,
+            start.partition,
+            start.epoch,
+            start.attempt,
+            start.digest,
+            phase,
+            expires_ms,
+        )
+        self._records_by_id[record.id] = record
+        heapq.heappush(self._expiry, (expires_ms, record.id))
+        if phase is Phase.ACCEPTED:
+            job_id = job_of(record.id)
+            self._task_ids_by_job.setdefault(job_id, set()).add(record.id)
+            jobs = self._jobs_by_partition.setdefault(record.partition, set())
+            jobs.add(job_id)
+
+    def _unindex(self, record: TaskRecord) -> None:
+        job_id = job_of(record.id)
+        task_ids = self._task_ids_by_job.get(job_id)
+        if task_ids is None:
+            return
+        task_ids.discard(record.id)
+        if not task_ids:
+            del self._task_ids_by_job[job_id]
+            self._jobs_by_partition[record.partition].discard(job_id)
+
+    def _drop_answer(self, task_id: str) -> None:
+        record = self._records_by_id.get(task_id)
+        if record is None or record.result is None:
+            return
+        self._answer_bytes -= len(record.result.body)
+        outcome = record.result.outcome
+        if outcome == messages.TaskOutcome.ANSWERED:
+            outcome = int(messages.TaskOutcome.EXPIRED)
+        record.result = dataclasses.replace(
+            record.result, outcome=outcome, body=b""
+        )
 
     def _expire(self) -> None:
         now_ms = self._clock.now_ms()
         while self._expiry and self._expiry[0][0] <= now_ms:
-            expires_ms, task_id = self._expiry.popleft()
+            expires_ms, task_id = heapq.heappop(self._expiry)
             record = self._records_by_id.get(task_id)
             if record is None or record.expires_ms != expires_ms:
                 continue
             if record.phase is Phase.ACCEPTED:
                 # A task that still runs is kept for another period.
                 record.expires_ms = now_ms + self._retention_ms
-                self._expiry.append((record.expires_ms, task_id))
+                heapq.heappush(self._expiry, (record.expires_ms, task_id))
                 continue
-            del self._records_by_id[task_id]
+            self.forget(task_id)
+
+
+def job_of(task_id: str) -> str:
+    """Returns the id of the job that a task belongs to."""
+    return task_id.rpartition("/")[0]
+
+
+def _is_fenced(known: TaskRecord | None, start: messages.Start) -> bool:
+    if known is None:
+        return False
+    fence = (known.epoch, known.attempt)
+    return (start.epoch, start.attempt) <= fence
 
 
 def _refused(outcome: messages.TaskOutcome) -> Decision:
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -72,6 +72,8 @@
             self._start(connection, message)
         elif isinstance(message, messages.Ask):
             self._answer_ask(connection, message)
+        elif isinstance(message, messages.AskPartition):
+            self._answer_partition(connection, message)
         elif isinstance(message, messages.CancelTasks):
             self._cancel(message)
         elif isinstance(message, messages.Ping):
@@ -93,7 +95,7 @@
         if decision.refusal is not None:
             self._refuse(connection, start, decision.refusal)
         elif decision.known is not None:
-            self._tell(connection, decision.known)
+            self._tell_same(connection, start, decision.known)
         else:
             self._connections_by_task_id[start.task_id] = connection
             self._waiting.append(_Queued(start, connection))
@@ -105,12 +107,44 @@
         for task_id in ask.task_ids:
             record = self._guard.find(task_id)
             if record is None:
-                self._guard.fence(task_id)
+                self._guard.fence(_fence_of(task_id, ask))
                 outcome = messages.TaskOutcome.NEVER_SEEN
                 connection.send(self._result(task_id, outcome))
             else:
                 self._tell(connection, record)
 
+    def _tell_same(
+        self,
+        connection: streams.Connection,
+        start: messages.Start,
+        record: guard.TaskRecord,
+    ) -> None:
+        if record.digest == start.digest:
+            self._tell(connection, record)
+        else:
+            # An answer to another body must not reach this caller.
+            outcome = messages.TaskOutcome.UNKNOWN
+            connection.send(self._result(start.task_id, outcome))
+
+    def _answer_partition(
+        self, connection: streams.Connection, ask: messages.AskPartition
+    ) -> None:
+        self._guard.fence_partition(ask.partition, ask.epoch)
+        records = self._guard.tasks_of(ask.job) if ask.job else []
+        ended = [record.result for record in records if record.result]
+        running = [record for record in records if not record.result]
+        for record in running:
+            self._connections_by_task_id[record.id] = connection
+        connection.send(
+            messages.PartitionTasks(
+                id=ask.id,
+                jobs=() if ask.job else self._guard.jobs_in(ask.partition),
+                digest=records[0].digest if records else b"",
+                ended=tuple(ended),
+                running=tuple(self._running(record) for record in running),
+            )
+        )
+
     def _tell(
         self, connection: streams.Connection, record: guard.TaskRecord
     ) -> None:
@@ -121,15 +155,16 @@
             connection.send(self._result(record.id, outcome))
         else:
             self._connections_by_task_id[record.id] = connection
-            connection.send(
-                messages.Running(
-                    record.id,
-                    record.digest,
-                    self._busy,
-                    len(self._waiting),
-                    self._clock.now_ms(),
-                )
-            )
+            connection.send(self._running(record))
+
+    def _running(self, record: guard.TaskRecord) -> messages.Running:
+        return messages.Running(
+            record.id,
+            record.digest,
+            self._busy,
+            len(self._waiting),
+            self._clock.now_ms(),
+        )
 
     def _cancel(self, cancel: messages.CancelTasks) -> None:
         withdrawn = set(cancel.task_ids)
@@ -137,7 +172,7 @@
         for queued in self._waiting:
             if queued.start.task_id in withdrawn:
                 self._guard.forget(queued.start.task_id)
-                self._guard.fence(queued.start.task_id)
+                self._guard.fence(queued.start)
                 self._refuse(
                     queued.connection,
                     queued.start,
@@ -199,3 +234,18 @@
             queued=len(self._waiting),
             tick_ms=self._clock.now_ms(),
         )
+
+
+def _fence_of(task_id: str, ask: messages.Ask) -> messages.Start:
+    return messages.Start(
+        task_id=task_id,
+        partition=ask.partition,
+        epoch=ask.epoch,
+        attempt=ask.attempt,
+        valid_until_ms=0,
+        digest=b"",
+        kind="",
+        payload=b"",
+        timeout_ms=0,
+        traceparent="",
+    )
