--- a/packages/standins/src/sardineroute_standins/caller.py
+++ b/packages/standins/src/sardineroute_standins/caller.py
@@ -1,4 +1,4 @@
-"""Submits jobs as a caller does, over the public HTTP interface."""
+"""Calls entries as a caller does, and the stand-ins' own interfaces."""
 
 import dataclasses
 import json
@@ -6,6 +6,28 @@
 
 import urllib3
 
+TIMEOUT_S = 10.0
+
+
+class CallError(Exception):
+    """Raised for an answer other than 200."""
+
+
+class JsonClient:
+    """Calls the stand-ins' own interfaces."""
+
+    def __init__(self, http: urllib3.PoolManager) -> None:
+        self._http = http
+
+    def call(self, method: str, url: str, body: Any = None) -> Any:
+        """Sends JSON and returns the JSON of a 200 answer."""
+        response = self._http.request(
+            method, url, json=body, timeout=TIMEOUT_S, retries=False
+        )
+        if response.status != 200:
+            raise CallError(f"{method} {url}: {response.status}")
+        return response.json()
+
 
 @dataclasses.dataclass(frozen=True)
 class Outcome:
--- a/packages/standins/src/sardineroute_standins/control.py
+++ b/packages/standins/src/sardineroute_standins/control.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import dataclasses
-import json
-import pathlib
 import re
 import threading
 from collections.abc import Coroutine
@@ -95,16 +93,7 @@
         raise web.BadRequest(str(error)) from error
 
 
-def serve(host: str, port: int, links: pathlib.Path | None) -> None:
-    """Serves links until SIGTERM or SIGINT.
-
-    Args:
-        host: IP address of the control server.
-        port: Port of the control server.
-        links: JSON file of the first links: {NAME: {"listen", "target"}}.
-    """
+def serve(host: str, port: int) -> None:
+    """Serves the control of links until SIGTERM or SIGINT."""
     control = Control()
-    routes = json.loads(links.read_text()) if links else {}
-    for name, fields in routes.items():
-        control.add(name, _route(fields))
     web.serve(control.handle, host, port, THREADS, control.stop)
--- a/packages/standins/src/sardineroute_standins/fleet.py
+++ b/packages/standins/src/sardineroute_standins/fleet.py
@@ -5,23 +5,28 @@
 import pathlib
 import shutil
 import signal
-import subprocess
 import tempfile
 import time
+from collections.abc import Iterable
 from typing import Any
 from typing import Self
 
 import urllib3
 
+from sardineroute_standins import caller
 from sardineroute_standins import layout
+from sardineroute_standins import links
 from sardineroute_standins import ports as ports_module
 from sardineroute_standins import processes
 
 STANDINS = "sardineroute_standins.main"
 DAEMON = "sardinerouted.main"
 READY_TIMEOUT_S = 20.0
+READY_CALL_TIMEOUT_S = 2.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
+# Members leave through the log, which must still be there.
+STOP_ORDER = ("entry-", "sidecar-", "backend-", "log", "proxy")
 
 
 class FleetError(Exception):
@@ -53,7 +58,11 @@
         folder: Holds settings, and what each process printed, as NAME.out.
         processes_by_name: All processes, running or not.
         entry_urls_by_name: Where callers reach the entries.
+        proxied_entry_urls_by_name: The same through the links "NAME:http".
         backend_servers: The backend servers.
+        log_url: Where the platform log listens.
+        links: The links of the fault proxy.
+        http: For calls to the fleet; can be shared by threads.
         secrets: Tokens of teams and operators.
     """
 
@@ -67,13 +76,17 @@
         self.folder = folder or pathlib.Path(tempfile.mkdtemp())
         self.processes_by_name: dict[str, processes.Process] = {}
         self.entry_urls_by_name: dict[str, str] = {}
+        self.proxied_entry_urls_by_name: dict[str, str] = {}
         self.backend_servers: list[BackendServer] = []
         self.secrets = layout.make_secrets()
         self.http = urllib3.PoolManager(retries=False, timeout=10.0)
         self._writer = layout.Writer(options, self.secrets, self.folder)
         self._ports = ports_module.Ports()
         self._spawner = processes.Spawner()
-        self.log_url = ""
+        self._client = caller.JsonClient(self.http)
+        self.links = links.Links(self._client, self._ports, "")
+        self._log_port = self._ports.reserve()
+        self.log_url = layout.url(self._log_port)
 
     def __enter__(self) -> Self:
         """Starts all and waits until all are ready."""
@@ -90,21 +103,26 @@
 
     def start(self) -> None:
         """Starts all processes and waits until all are ready."""
-        self._add_log()
+        if self.options.proxied:
+            self._start_proxy()
+        self._start_log()
         for _ in range(self.options.backend_servers):
             self.add_backend_server()
         for _ in range(self.options.entries):
             self.add_entry()
         self.wait_ready(*self.processes_by_name)
 
-    def stop(self) -> None:
-        """Stops all processes: SIGTERM, then SIGKILL after a bound."""
-        started = [
-            process
-            for process in self.processes_by_name.values()
-            if process.running
-        ]
-        self._stop_all(started)
+    def stop(self, graceful: bool = True) -> None:
+        """Ends all processes.
+
+        Args:
+            graceful: Whether to send SIGTERM first, role by role, and
+                SIGKILL only after a bound.
+        """
+        if graceful:
+            self._terminate_all()
+        for process in self.processes_by_name.values():
+            process.kill()
         self._spawner.close()
         self._ports.release()
         self.http.clear()
@@ -118,6 +136,8 @@
         file = self._writer.entry(member)
         self._launch_daemon("entry", member, file)
         self.entry_urls_by_name[member.id] = layout.url(member.http_port)
+        proxied_port = self.links.route(f"{member.id}:http", member.http_port)
+        self.proxied_entry_urls_by_name[member.id] = layout.url(proxied_port)
         return member.id
 
     def add_backend_server(self) -> BackendServer:
@@ -129,7 +149,8 @@
         )
         self._launch_backend(server, index, port)
         member = self._member(server.sidecar, index)
-        file = self._writer.sidecar(member, server.url)
+        proxied_port = self.links.route(f"{member.id}:backend", port)
+        file = self._writer.sidecar(member, layout.url(proxied_port))
         self._launch_daemon("sidecar", member, file)
         self.backend_servers.append(server)
         return server
@@ -142,14 +163,8 @@
         Raises:
             FleetError: One has ended, or isn't ready in time.
         """
-        end_s = time.monotonic() + timeout_s
-        waiting = [self.processes_by_name[name] for name in names]
-        while waiting:
-            waiting = [one for one in waiting if not self._is_ready(one)]
-            if waiting and time.monotonic() > end_s:
-                raise FleetError(f"not ready in time: {_tails(waiting)}")
-            if waiting:
-                time.sleep(POLL_S)
+        group = [self.processes_by_name[name] for name in names]
+        wait_ready(group, timeout_s)
 
     def kill(self, name: str) -> None:
         """Kills a process and waits for its end."""
@@ -177,7 +192,7 @@
         """Sets faults of the log or of a backend server, by its name."""
         process = self.processes_by_name[name]
         base = process.ready_url.removesuffix("/readyz")
-        self.call("PUT", f"{base}/faults", faults)
+        self._client.call("PUT", f"{base}/faults", faults)
 
     def executions(self) -> dict[str, int]:
         """Returns the starts of each task key over all backend servers.
@@ -189,18 +204,11 @@
         for server in self.backend_servers:
             if not self.processes_by_name[server.name].running:
                 continue
-            counts = self.call("GET", f"{server.url}/executions")
+            counts = self._client.call("GET", f"{server.url}/executions")
             for key, count in counts.items():
                 starts_by_key[key] = starts_by_key.get(key, 0) + count
         return starts_by_key
 
-    def call(self, method: str, url: str, body: Any = None) -> Any:
-        """Sends JSON and returns the JSON of a 200 answer."""
-        response = self.http.request(method, url, json=body)
-        if response.status != 200:
-            raise FleetError(f"{method} {url}: {response.status}")
-        return response.json()
-
     def describe(self) -> dict[str, Any]:
         """Returns what `up` prints: URLs, process ids and tokens."""
         return {
@@ -226,16 +234,29 @@
 
     def outputs(self) -> str:
         """Returns the last part of what each process printed."""
-        return _tails(list(self.processes_by_name.values()))
-
-    def _add_log(self) -> None:
+        return processes.tails(self.processes_by_name.values())
+
+    def _terminate_all(self) -> None:
+        for role in STOP_ORDER:
+            group = [
+                process
+                for name, process in self.processes_by_name.items()
+                if name.startswith(role)
+            ]
+            processes.stop(group, STOP_TIMEOUT_S)
+
+    def _start_proxy(self) -> None:
         port = self._ports.reserve()
-        options = self.options.log
-        self.log_url = layout.url(port)
-        arguments = [STANDINS, "log", "--port", str(port)]
-        for field, value in dataclasses.asdict(options).items():
+        self._launch("proxy", [STANDINS, "proxy", "--port", str(port)], port)
+        self.wait_ready("proxy")
+        url = layout.url(port)
+        self.links = links.Links(self._client, self._ports, url)
+
+    def _start_log(self) -> None:
+        arguments = [STANDINS, "log", "--port", str(self._log_port)]
+        for field, value in dataclasses.asdict(self.options.log).items():
             arguments += [f"--{field.replace('_', '-')}", str(value)]
-        self._launch("log", arguments, port)
+        self._launch("log", arguments, self._log_port)
 
     def _launch_backend(
         self, server: BackendServer, index: int, port: int
@@ -247,11 +268,14 @@
         self._launch(server.name, arguments, port)
 
     def _member(self, name: str, index: int) -> layout.Member:
+        log_port = self.links.route(f"{name}:log", self._log_port)
+        stream_port = self._ports.reserve()
         return layout.Member(
             id=name,
             index=index,
-            log_url=self.log_url,
-            stream_port=self._ports.reserve(),
+            log_url=layout.url(log_port),
+            stream_port=stream_port,
+            advertised_port=self.links.route(f"{name}:streams", stream_port),
             http_port=self._ports.reserve(),
         )
 
@@ -272,33 +296,39 @@
         self.processes_by_name[name] = process
         process.start()
 
-    def _is_ready(self, process: processes.Process) -> bool:
-        if not process.running:
-            raise FleetError(f"ended: {_tails([process])}")
-        try:
-            response = self.http.request("GET", process.ready_url, timeout=2.0)
-        except urllib3.exceptions.HTTPError:
-            return False
-        return response.status == 200
-
-    def _stop_all(self, started: list[processes.Process]) -> None:
-        for process in started:
-            process.signal(signal.SIGCONT)
-            process.signal(signal.SIGTERM)
-        end_s = time.monotonic() + STOP_TIMEOUT_S
-        for process in started:
-            try:
-                process.wait(max(0.0, end_s - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                process.kill()
-
-
-def _tails(group: list[processes.Process]) -> str:
-    parts = [
-        f"--- {process.name} (exit code {process.exit_code})\n{process.tail()}"
-        for process in group
-    ]
-    return "\n".join(parts)
+
+def wait_ready(
+    group: Iterable[processes.Process], timeout_s: float = READY_TIMEOUT_S
+) -> None:
+    """Waits until /readyz of each process answers 200.
+
+    Raises:
+        FleetError: One has ended, or isn't ready in time.
+    """
+    end_s = time.monotonic() + timeout_s
+    waiting = list(group)
+    while waiting:
+        waiting = [process for process in waiting if not _is_ready(process)]
+        if waiting and time.monotonic() > end_s:
+            raise FleetError(f"not ready in time: {processes.tails(waiting)}")
+        if waiting:
+            time.sleep(POLL_S)
+
+
+def _is_ready(process: processes.Process) -> bool:
+    if not process.running:
+        raise FleetError(f"ended: {processes.tails([process])}")
+    try:
+        response = urllib3.request(
+            "GET",
+            process.ready_url,
+            headers={"Connection": "close"},
+            timeout=READY_CALL_TIMEOUT_S,
+            retries=False,
+        )
+    except urllib3.exceptions.HTTPError:
+        return False
+    return response.status == 200
 
 
 def print_description(fleet: Fleet) -> None:
--- a/packages/standins/src/sardineroute_standins/layout.py
+++ b/packages/standins/src/sardineroute_standins/layout.py
@@ -112,6 +112,7 @@
         index: Its number in its role, from 0.
         log_url: Where it reaches the platform log.
         stream_port: Where its stream server listens.
+        advertised_port: Where peers reach its stream server.
         http_port: Where its HTTP server listens.
     """
 
@@ -119,6 +120,7 @@
     index: int
     log_url: str
     stream_port: int
+    advertised_port: int
     http_port: int
 
 
@@ -179,6 +181,7 @@
             ),
             "streams": settings.Streams(
                 listen=address(member.stream_port),
+                advertise=address(member.advertised_port),
                 secret=self._secrets.stream_secret,
                 silence_ms=options.silence_ms,
             ),
--- a/packages/standins/src/sardineroute_standins/main.py
+++ b/packages/standins/src/sardineroute_standins/main.py
@@ -1,6 +1,5 @@
 """The command line of the stand-ins."""
 
-import pathlib
 import signal
 
 import typer
@@ -47,18 +46,26 @@
 
 
 @app.command()
-def proxy(
-    host: str = "127.0.0.1", port: int = 0, links: pathlib.Path | None = None
-) -> None:
-    """Serves fault-injecting TCP links; LINKS is a JSON file of routes."""
-    control.serve(host, port, links)
+def proxy(host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serves fault-injecting TCP links, made over HTTP."""
+    control.serve(host, port)
 
 
 @app.command()
-def up(entries: int = 3, backend_servers: int = 3) -> None:
+def up(
+    entries: int = 3,
+    backend_servers: int = 3,
+    failure_domains: int = 3,
+    proxied: bool = False,
+) -> None:
     """Keeps a fleet on loopback until interrupted; prints one JSON line."""
     _exit_on_signals()
-    options = layout.Options(entries=entries, backend_servers=backend_servers)
+    options = layout.Options(
+        entries=entries,
+        backend_servers=backend_servers,
+        failure_domains=failure_domains,
+        proxied=proxied,
+    )
     with fleet_module.Fleet(options) as fleet:
         fleet_module.print_description(fleet)
         signal.pause()
--- a/packages/standins/src/sardineroute_standins/processes.py
+++ b/packages/standins/src/sardineroute_standins/processes.py
@@ -7,6 +7,8 @@
 import signal
 import subprocess
 import sys
+import time
+from collections.abc import Iterable
 
 TAIL_BYTES = 4_000
 
@@ -133,3 +135,26 @@
             return ""
         data = self.output.read_bytes()[-TAIL_BYTES:]
         return data.decode(errors="replace")
+
+
+def stop(group: Iterable[Process], timeout_s: float) -> None:
+    """Stops processes: SIGTERM to all, then SIGKILL after a bound."""
+    running = [process for process in group if process.running]
+    for process in running:
+        process.signal(signal.SIGTERM)
+        process.signal(signal.SIGCONT)
+    end_s = time.monotonic() + timeout_s
+    for process in running:
+        try:
+            process.wait(max(0.0, end_s - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+
+
+def tails(group: Iterable[Process]) -> str:
+    """Returns the last part of what each process printed."""
+    parts = [
+        f"--- {process.name} (exit code {process.exit_code})\n{process.tail()}"
+        for process in group
+    ]
+    return "\n".join(parts)
--- a/packages/standins/src/sardineroute_standins/proxy.py
+++ b/packages/standins/src/sardineroute_standins/proxy.py
@@ -199,13 +199,16 @@
         connection: _Connection,
         *pumps: Coroutine[Any, Any, None],
     ) -> None:
-        both = asyncio.gather(*pumps)
+        tasks = [asyncio.ensure_future(pump) for pump in pumps]
+        both = asyncio.ensure_future(asyncio.wait(tasks))
         aborted = asyncio.ensure_future(connection.aborted.wait())
-        await asyncio.wait((both, aborted), return_when=asyncio.FIRST_COMPLETED)
-        for future in (both, aborted):
-            future.cancel()
-        with contextlib.suppress(OSError, asyncio.CancelledError):
-            await both
+        try:
+            await asyncio.wait(
+                (both, aborted), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for future in (*tasks, both, aborted):
+                future.cancel()
 
     async def _pump(
         self,
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,92 @@
+"""Fixtures that run real processes on loopback."""
+
+import itertools
+import pathlib
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+import urllib3
+
+from sardineroute_standins import fleet as fleet_module
+from sardineroute_standins import layout
+from sardineroute_standins import ports as ports_module
+from sardineroute_standins import processes
+
+FleetFactory = Callable[..., fleet_module.Fleet]
+StandinFactory = Callable[..., str]
+
+_FAILED = pytest.StashKey[bool]()
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item: pytest.Item) -> Iterator[None]:
+    report: Any = yield
+    item.stash[_FAILED] = item.stash.get(_FAILED, False) or report.failed
+    return report
+
+
+@pytest.fixture
+def fleet(
+    request: pytest.FixtureRequest, tmp_path: pathlib.Path
+) -> Iterator[FleetFactory]:
+    """Starts fleets: `fleet(entries=2, proxied=True)`, see layout.Options.
+
+    What each process printed is shown when the test fails.
+    """
+    fleets: list[fleet_module.Fleet] = []
+
+    def make(**options: Any) -> fleet_module.Fleet:
+        folder = tmp_path / f"fleet-{len(fleets) + 1}"
+        folder.mkdir()
+        sized = {"entries": 2, "backend_servers": 3, **options}
+        made = fleet_module.Fleet(layout.Options(**sized), folder)
+        fleets.append(made)
+        made.start()
+        return made
+
+    yield make
+    for made in fleets:
+        if request.node.stash.get(_FAILED, False):
+            print(made.outputs())
+        made.stop(graceful=False)
+
+
+@pytest.fixture
+def standin(tmp_path: pathlib.Path) -> Iterator[StandinFactory]:
+    """Starts one stand-in and returns its URL: `standin("log")`."""
+    ports = ports_module.Ports()
+    spawner = processes.Spawner()
+    started: list[processes.Process] = []
+    numbers = itertools.count()
+
+    def start(role: str, *arguments: str) -> str:
+        port = ports.reserve()
+        url = layout.url(port)
+        name = f"{role}-{next(numbers)}"
+        process = processes.Process(
+            spawner,
+            name,
+            [fleet_module.STANDINS, role, "--port", str(port), *arguments],
+            f"{url}/readyz",
+            tmp_path / f"{name}.out",
+        )
+        started.append(process)
+        process.start()
+        fleet_module.wait_ready([process])
+        return url
+
+    yield start
+    for process in started:
+        print(processes.tails([process]))
+        process.kill()
+    spawner.close()
+    ports.release()
+
+
+@pytest.fixture
+def http() -> Iterator[urllib3.PoolManager]:
+    pool = urllib3.PoolManager(maxsize=256, retries=False, timeout=20.0)
+    yield pool
+    pool.clear()
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,205 @@
+"""The fault-injecting proxy, between a client and an echo server."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+import pytest
+
+from sardineroute_standins import ports
+from sardineroute_standins import proxy
+
+SILENCE_S = 0.3
+TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass
+class Rig:
+    """A link to an echo server.
+
+    Attributes:
+        link: The link.
+        received: What the echo server has received.
+        ends: Connections that the echo server has seen end.
+    """
+
+    link: proxy.Link
+    received: bytearray
+    ends: asyncio.Queue[str]
+
+    async def connect(self) -> "Client":
+        """Returns a new client connection through the link."""
+        pair = await asyncio.open_connection(
+            ports.LOOPBACK, self.link.route.listen
+        )
+        return Client(*pair)
+
+
+@dataclasses.dataclass
+class Client:
+    """One client connection through the link."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def send(self, data: bytes) -> None:
+        """Sends data and doesn't wait for an answer."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def receive(self, timeout_s: float = TIMEOUT_S) -> bytes:
+        """Returns the next data, or nothing at the end."""
+        return await asyncio.wait_for(self.reader.read(100), timeout_s)
+
+    async def echo(self, data: bytes) -> bytes:
+        """Sends data and returns as much of the answer."""
+        await self.send(data)
+        reading = self.reader.readexactly(len(data))
+        return await asyncio.wait_for(reading, TIMEOUT_S)
+
+    async def assert_silent(self) -> None:
+        """Checks that nothing arrives for a while."""
+        with pytest.raises(TimeoutError):
+            await self.receive(SILENCE_S)
+
+
+@contextlib.asynccontextmanager
+async def running_rig() -> AsyncIterator[Rig]:
+    received = bytearray()
+    ends: asyncio.Queue[str] = asyncio.Queue()
+
+    async def echo(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(65_536):
+                received.extend(data)
+                writer.write(data)
+                await writer.drain()
+            ends.put_nowait("closed")
+        except ConnectionResetError:
+            ends.put_nowait("reset")
+        writer.close()
+
+    server = await asyncio.start_server(echo, ports.LOOPBACK, 0)
+    held = ports.Ports()
+    route = proxy.Route(held.reserve(), server.sockets[0].getsockname()[1])
+    link = proxy.Link(route)
+    await link.open()
+    yield Rig(link, received, ends)
+    await link.close()
+    server.close()
+    held.release()
+
+
+def test_forwards_and_half_closes() -> None:
+    async def run() -> None:
+        async with running_rig() as rig:
+            client = await rig.connect()
+            data = bytes(range(256)) * 20_000
+            assert await client.echo(data) == data
+            client.writer.write_eof()
+            assert await client.receive() == b""
+            assert await rig.ends.get() == "closed"
+            counts = rig.link.counts()
+            assert counts.bytes_to_target == len(data)
+            assert counts.bytes_to_client == len(data)
+
+    asyncio.run(run())
+
+
+def test_delay_adds_to_each_direction() -> None:
+    async def run() -> None:
+        async with running_rig() as rig:
+            client = await rig.connect()
+            await rig.link.apply(proxy.Faults(delay_ms=100))
+            now_s = asyncio.get_running_loop().time
+            started_s = now_s()
+            assert await client.echo(b"ping") == b"ping"
+            assert now_s() - started_s >= 0.2
+
+    asyncio.run(run())
+
+
+def test_down_resets_and_refuses_until_lifted() -> None:
+    async def run() -> None:
+        async with running_rig() as rig:
+            client = await rig.connect()
+            assert await client.echo(b"ping") == b"ping"
+            await rig.link.apply(proxy.Faults(down=True))
+            with pytest.raises(ConnectionResetError):
+                await client.receive()
+            assert await rig.ends.get() == "reset"
+            with pytest.raises(ConnectionRefusedError):
+                await rig.connect()
+            await rig.link.apply(proxy.Faults())
+            again = await rig.connect()
+            assert await again.echo(b"pong") == b"pong"
+
+    asyncio.run(run())
+
+
+def test_silence_lasts_while_new_connections_work() -> None:
+    async def run() -> None:
+        async with running_rig() as rig:
+            silent = await rig.connect()
+            assert await silent.echo(b"1") == b"1"
+            rig.link.silence()
+            await silent.send(b"lost")
+            fresh = await rig.connect()
+            assert await fresh.echo(b"2") == b"2"
+            await silent.assert_silent()
+            assert bytes(rig.received) == b"12"
+            # The other side doesn't learn of the close.
+            silent.writer.close()
+            assert await fresh.echo(b"3") == b"3"
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(rig.ends.get(), SILENCE_S)
+            assert rig.link.counts().silent == 1
+
+    asyncio.run(run())
+
+
+def test_dropped_reply_comes_after_the_effect() -> None:
+    async def run() -> None:
+        async with running_rig() as rig:
+            client = await rig.connect()
+            await rig.link.apply(proxy.Faults(drop_replies=1))
+            await client.send(b"act")
+            assert await client.receive() == b""
+            assert bytes(rig.received) == b"act"
+            again = await rig.connect()
+            assert await again.echo(b"ask") == b"ask"
+
+    asyncio.run(run())
+
+
+def test_held_data_arrives_late_and_in_order() -> None:
+    async def run() -> None:
+        async with running_rig() as rig:
+            client = await rig.connect()
+            await rig.link.apply(proxy.Faults(hold=True))
+            await client.send(b"first ")
+            await client.assert_silent()
+            assert bytes(rig.received) == b""
+            await client.send(b"second")
+            await rig.link.apply(proxy.Faults())
+            reading = client.reader.readexactly(12)
+            late = await asyncio.wait_for(reading, TIMEOUT_S)
+            assert late == b"first second"
+
+    asyncio.run(run())
+
+
+def test_reset_reaches_both_sides() -> None:
+    async def run() -> None:
+        async with running_rig() as rig:
+            client = await rig.connect()
+            assert await client.echo(b"ping") == b"ping"
+            rig.link.reset()
+            with pytest.raises(ConnectionResetError):
+                await client.receive()
+            assert await rig.ends.get() == "reset"
+
+    asyncio.run(run())
