Announce the advertised stream address

Cause: entries and sidecars announced the address they listen on, so that a proxy in front of a stream was never used. Change: the announcement takes streams.advertise where the settings have it. Before: test_fleet's proxied job sent 0 bytes through the stream links and failed.

--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -91,7 +91,7 @@
 def _announcement(
     state: entry_state.EntryState,
 ) -> membership.Announcement:
-    address = state.options.streams.listen
+    address = state.options.streams.advertise or state.options.streams.listen
     return membership.Announcement(
         id=state.identity.id,
         role=messages.Role.ENTRY,
--- a/packages/daemon/src/sardinerouted/sidecar/process.py
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -74,7 +74,7 @@
 def _announcement(
     options: settings.Sidecar, incarnation: str
 ) -> membership.Announcement:
-    address = options.streams.listen
+    address = options.streams.advertise or options.streams.listen
     return membership.Announcement(
         id=options.id,
         role=messages.Role.SIDECAR,
