--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -77,7 +77,7 @@
 def _announcement(
     state: entry_state.EntryState,
 ) -> membership.Announcement:
-    address = state.options.streams.listen
+    address = state.options.streams.advertise or state.options.streams.listen
     return membership.Announcement(
         id=state.identity.id,
         role=messages.Role.ENTRY,
