--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -9,6 +9,7 @@
 from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardinerouted import membership
 from sardinerouted.entry import backends
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import home
@@ -25,6 +26,7 @@
 from sardinerouted.entry import witness
 
 _SOLO_CHECKS_IN_LEASE = 6
+_BEYOND_END = 2**53
 
 
 def new_state(
@@ -69,7 +71,13 @@
         desk=witness.Desk(owned, table, entries, keeping.commit),
         keeper=keeping,
         recovery=recovery.Recovery(
-            owned, table, entries, asked, lambda: state.membership_read_ms
+            owned,
+            table,
+            entries,
+            asked,
+            recovery.Members(
+                lambda: _membership_end(log), lambda: state.membership_next
+            ),
         ),
         questions=asked,
         kept=kept.Kept((jobs_by_id, former_jobs_by_id), time, retention_ms),
@@ -93,6 +101,11 @@
             await state.desk.clear_solo()
 
 
+async def _membership_end(log: platformlog.PlatformLog) -> int:
+    batch = await log.read(membership.STREAM, _BEYOND_END, wait_ms=0)
+    return batch.next
+
+
 def _member(
     options: settings.Entry, identity: streams.Identity
 ) -> leaserecords.Member:
--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -7,11 +7,13 @@
 import asyncio
 import dataclasses
 import enum
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from sardineroute_core import errors
 from sardineroute_core import logs
 from sardineroute_core import messages
+from sardineroute_core import platformlog
 from sardineroute_core import streams
 from sardinerouted.entry import jobs
 from sardinerouted.entry import leasefold
@@ -48,6 +50,8 @@
         keepers_by_job: Entries that can tell the outcome of a job.
         missing: Sessions that have not answered yet.
         doubted_ms: When the doubt began.
+        members_end: The end of the membership stream at some time since the
+            claim; -1 before it was read.
     """
 
     epoch: int
@@ -57,6 +61,20 @@
     keepers_by_job: dict[str, leasefold.Session]
     missing: set[str]
     doubted_ms: int
+    members_end: int = -1
+
+
+@dataclasses.dataclass(frozen=True)
+class Members:
+    """How far the membership stream goes, and was read.
+
+    Attributes:
+        read_end: Returns its present end; raises LogUnavailable.
+        read_to: Returns the offset up to which this entry has read it.
+    """
+
+    read_end: Callable[[], Awaitable[int]]
+    read_to: Callable[[], int]
 
 
 class Recovery:
@@ -68,13 +86,13 @@
         table: witness.Table,
         entries: peers.Peers,
         asked: questions.Questions,
-        membership_read_ms: Callable[[], int],
+        members: Members,
     ) -> None:
         self._owned = owned
         self._table = table
         self._peers = entries
         self._questions = asked
-        self._membership_read_ms = membership_read_ms
+        self._members = members
         self._clock = owned.clock
         self._horizon_ms = owned.options.retention_ms + jobs.MAX_TIMEOUT_MS
         self._partitions: dict[int, _Partition] = {}
@@ -180,7 +198,14 @@
         self, job: jobs.Job, partition: _Partition
     ) -> None:
         # Sidecars that an earlier holder knew must be known here too.
-        while self._membership_read_ms() <= partition.doubted_ms:
+        while partition.members_end < 0:
+            try:
+                partition.members_end = await self._members.read_end()
+            except platformlog.LogUnavailable:
+                await asyncio.sleep(_RETRY_MS / 1_000)
+            if job.state is not jobs.State.RUNNING:
+                return
+        while self._members.read_to() < partition.members_end:
             if job.state is not jobs.State.RUNNING:
                 return
             await asyncio.sleep(_POLL_MS / 1_000)
--- a/packages/daemon/src/sardinerouted/entry/roster.py
+++ b/packages/daemon/src/sardinerouted/entry/roster.py
@@ -36,8 +36,7 @@
                 self._remove(change)
             elif change.role is messages.Role.SIDECAR:
                 self._add_sidecar(change)
-        if len(batch.records) < platformlog.READ_LIMIT:
-            self._state.membership_read_ms = self._state.clock.now_ms()
+        self._state.membership_next = batch.next
 
     def close(self) -> None:
         """Ends the links to all sidecars."""
--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -43,8 +43,8 @@
         former_jobs_by_id: Ended jobs that were at home here before.
         forwarded_by_job: Submissions under way to their home, by job.
         preparing: Jobs that are about to start.
-        membership_read_ms: When the membership stream was last read to its
-            end.
+        membership_next: The offset up to which the membership stream was
+            read.
         draining: Whether this entry is shutting down.
     """
 
@@ -68,5 +68,5 @@
         default_factory=collections.Counter
     )
     preparing: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
-    membership_read_ms: int = 0
+    membership_next: int = 0
     draining: bool = False
