--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -78,11 +78,7 @@
 def _promise(
     state: entry_state.EntryState, request: messages.Promise
 ) -> messages.Promised:
-    owned = state.ownership
-    session = owned.fold.active(request.session)
-    if session is None or not owned.joined:
-        return messages.Promised(request.id, False)
-    given = owned.promises.give(session.id, session.renewed, request.for_ms)
+    given = state.ownership.promise(request.session, request.for_ms)
     return messages.Promised(request.id, given)
 
 
--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -70,7 +70,7 @@
         )
         try:
             while True:
-                self._step()
+                self.step()
                 await self._wait()
         finally:
             following.cancel()
@@ -112,7 +112,8 @@
         await asyncio.wait([changed], timeout=step_s)
         changed.cancel()
 
-    def _step(self) -> None:
+    def step(self) -> None:
+        """Does what is due now; appends go on by themselves."""
         owned = self._owned
         if not owned.complete:
             self._begin_log()
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -202,6 +202,17 @@
             self.options.lease_ms, self.next, self.solo, self.leaving, number
         )
 
+    def promise(self, session_id: str, for_ms: int) -> bool:
+        """Promises another holder not to end its session for some time.
+
+        Returns:
+            Whether the promise is given.
+        """
+        session = self.fold.active(session_id)
+        if session is None or not self.joined:
+            return False
+        return self.promises.give(session.id, session.renewed, for_ms)
+
     def ends_due(self) -> Sessions:
         """Returns the sessions that may be ended now."""
         return [
--- /dev/null
+++ b/tests/test_leasefold.py
@@ -0,0 +1,148 @@
+"""The rules by which the order of the log decides who holds what."""
+
+import pytest
+
+from sardineroute_core import clock
+from sardinerouted.entry import lease
+from sardinerouted.entry import leasefold
+from sardinerouted.entry import leaserecords
+from sardinerouted.entry import promises
+
+LEASE_MS = 1_000
+
+
+def _start(name: str, port: int = 0, solo: bool = False) -> leaserecords.Start:
+    member = leaserecords.Member(
+        name, f"{name}-1", "127.0.0.1", port or ord(name)
+    )
+    return leaserecords.Start(name, member, _terms(0, solo))
+
+
+def _terms(number: int, solo: bool = False) -> leaserecords.Terms:
+    return leaserecords.Terms(LEASE_MS, 0, solo, False, number)
+
+
+def _fold(*records: leaserecords.Record) -> leasefold.Fold:
+    fold = leasefold.Fold()
+    for offset, record in enumerate(records):
+        again = leaserecords.decode(leaserecords.encode(record))
+        assert again == record
+        fold.apply(offset, again)
+    return fold
+
+
+def _holders(fold: leasefold.Fold) -> dict[int, tuple[str, int]]:
+    return {
+        partition: (holding.session, holding.epoch)
+        for partition, holding in fold.holdings_by_partition.items()
+    }
+
+
+def test_first_claim_wins_and_a_renewal_voids_a_later_end() -> None:
+    begun = (
+        _start("a"),
+        _start("b"),
+        leaserecords.Claim("a", (), (0, 1)),
+        leaserecords.Claim("b", (), (1, 2)),
+    )
+    fold = _fold(*begun)
+    assert _holders(fold) == {0: ("a", 2), 1: ("a", 2), 2: ("b", 3)}
+    takeover = leaserecords.Claim("b", (("a", 0),), (0, 1))
+    renewal = leaserecords.Renewal("a", _terms(1))
+    renewed_first = _fold(*begun, renewal, takeover)
+    assert _holders(renewed_first) == _holders(fold)
+    ended_first = _fold(*begun, takeover, renewal)
+    assert _holders(ended_first) == {0: ("b", 4), 1: ("b", 4), 2: ("b", 3)}
+    assert "a" not in ended_first.sessions_by_id
+    assert ended_first.previous_by_partition[0].incarnation == "a-1"
+    assert [loss.incarnation for loss in ended_first.losses] == ["a-1"]
+
+
+def test_records_that_land_late_have_no_effect() -> None:
+    fold = _fold(
+        _start("a", solo=True),
+        leaserecords.Claim("a", (), (0,)),
+        leaserecords.Release("a", ((0, 1),)),
+        leaserecords.Claim("a", (), (0,)),
+        leaserecords.Release("a", ((0, 1),)),
+        leaserecords.Renewal("a", _terms(2, solo=True)),
+        leaserecords.Renewal("a", _terms(1, solo=False)),
+    )
+    assert _holders(fold) == {0: ("a", 3)}
+    assert fold.sessions_by_id["a"].terms.solo
+    fold.apply(7, leaserecords.Leave("a"))
+    fold.apply(8, leaserecords.Claim("a", (), (0,)))
+    assert _holders(fold) == {}
+    assert not fold.losses
+
+
+def test_a_later_process_at_an_address_voids_the_earlier_one() -> None:
+    fold = _fold(
+        _start("a", port=7),
+        leaserecords.Claim("a", (), (0,)),
+        _start("b", port=7),
+        leaserecords.Renewal("a", _terms(1)),
+        leaserecords.Claim("a", (), (1,)),
+    )
+    assert _holders(fold) == {0: ("a", 1)}
+    assert fold.sessions_by_id["a"].superseded
+    assert fold.sessions_by_id["a"].renewed == 0
+
+
+def test_a_reader_of_a_trimmed_log_waits_for_a_whole_snapshot() -> None:
+    records: list[leaserecords.Record] = [
+        _start("a"),
+        leaserecords.Claim("a", (), (0,)),
+    ]
+    whole = _fold(*records)
+    early = leaserecords.Snapshot(2, whole.dump())
+    records += [leaserecords.Claim("a", (), (1,)), early]
+    whole.apply(2, records[2])
+    late = leaserecords.Snapshot(4, whole.dump())
+    records += [late, leaserecords.Claim("a", (), (2,))]
+    for first in (0, 1, 2, 3, 4, 5):
+        reader = leasefold.Reader()
+        reader.begin(first)
+        for offset in range(first, len(records)):
+            reader.take(offset, records[offset])
+        assert reader.complete == (first != 5)
+        if reader.complete:
+            expected = {0: ("a", 1), 1: ("a", 2), 2: ("a", 5)}
+            assert _holders(reader.fold) == expected
+        assert reader.begin(len(records) + 1)
+        assert not reader.complete
+
+
+@pytest.fixture
+def time() -> clock.FakeClock:
+    return clock.FakeClock()
+
+
+def test_own_lease_counts_from_sending_and_only_when_read_back(
+    time: clock.FakeClock,
+) -> None:
+    own = lease.OwnLease(time.clock(), LEASE_MS)
+    own.begin("a")
+    own.sending("first")
+    time.advance(400)
+    assert not own.valid
+    own.read_back("first")
+    assert own.valid_until_ms == time.clock().now_ms() + LEASE_MS - 400
+    own.extend(own.valid_until_ms + 9_000, 2_000)
+    assert own.valid_until_ms == own.confirmed_ms + 2_000
+    time.advance(1_600)
+    assert not own.valid
+
+
+def test_a_promise_and_a_claim_exclude_each_other(
+    time: clock.FakeClock,
+) -> None:
+    given = promises.Promises(time.clock())
+    given.claiming("a", renewed=3)
+    assert not given.give("a", renewed=3, for_ms=1_000)
+    assert given.give("a", renewed=4, for_ms=1_000)
+    assert given.binding("a")
+    time.advance(1_000)
+    assert given.binding("a")
+    time.advance(20)
+    assert not given.binding("a")
