Share queued work by weight and choose servers by expected finish

Cause: one FIFO queue a kind and a 10 ms polling timer.

Change: queues.py shares slot-milliseconds among teams by start-time fair queueing and among a team's kinds by weight, urgency taking what is spare; jobs of a kind go by the time at which they would be done alone. speeds.py learns run times by kind and server. choice.py chooses the earliest expected finish, waiting for a full fast server rather than using an idle slow one; random, round_robin, least_outstanding and fifo stay selectable. health.py ejects, probes and ramps servers. Want and Room replace the polling timer: a sidecar that owes an entry no answer tells it once that it has room.

--- a/packages/core/src/sardineroute_core/messages.py
+++ b/packages/core/src/sardineroute_core/messages.py
@@ -219,6 +219,22 @@
     tick_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """Asks a sidecar to say when it has room; sent only by who waits."""
+
+    tick_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """Answers `Want`, once, as soon as the sidecar has room."""
+
+    busy: int
+    queued: int
+    tick_ms: int
+
+
 _CLASSES_BY_CODE: dict[int, type[Any]] = {
     1: Challenge,
     2: Hello,
@@ -235,6 +251,8 @@
     21: Lookup,
     22: Cancel,
     23: Outcome,
+    50: Want,
+    51: Room,
 }
 _CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
 _FIELDS_BY_CLASS = {
--- a/packages/daemon/src/sardinerouted/entry/backends.py
+++ b/packages/daemon/src/sardinerouted/entry/backends.py
@@ -1,12 +1,17 @@
 """What an entry knows of each backend server that announced itself."""
 
 import dataclasses
+import math
 
 from sardineroute_core import clock
 from sardineroute_core import messages
 from sardineroute_core import streams
 from sardinerouted import membership
 from sardinerouted.entry import jobs
+from sardinerouted.entry import speeds
+
+_RUN_WEIGHT = 0.05
+_LOAD_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,9 +28,10 @@
     Attributes:
         announcement: What its sidecar announced.
         connection: The open stream to its sidecar, if any.
-        tasks_by_id: Our tasks there that have not ended.
-        others: Tasks of other entries there, by the last report.
+        tasks_by_id: Our tasks there that have not ended, oldest first.
         leaving: Whether it takes no new work.
+        wanted: Whether the sidecar was asked to tell when it has room.
+        mean_run_ms: Run time of the tasks that ended there lately.
     """
 
     def __init__(
@@ -36,14 +42,24 @@
         self._clock = time
         self.connection: streams.Connection | None = None
         self.tasks_by_id: dict[str, jobs.Task] = {}
-        self.others = 0
         self.leaving = False
+        self.wanted = False
         self.tick: Tick | None = None
+        self.mean_run_ms = speeds.DEFAULT_RUN_MS
+        self._expected_ms = 0.0
+        self._others = 0.0
+        self._others_mean = 0.0
+        self._others_ms = 0
+        self._progress_ms = 0
 
     @property
-    def load(self) -> int:
-        """Returns the tasks believed to run or wait there."""
-        return self.others + len(self.tasks_by_id)
+    def load(self) -> float:
+        """Returns the tasks believed to run or wait there.
+
+        What is known of other entries' tasks there returns to its mean
+        within the time that tasks run.
+        """
+        return self._others_now() + len(self.tasks_by_id)
 
     @property
     def usable(self) -> bool:
@@ -53,28 +69,70 @@
     def has_room(self) -> bool:
         """Returns whether one more task is likely to be accepted."""
         limit = self.announcement.slots + self.announcement.queue
-        return self.load < limit
+        return self.load <= limit - 1
+
+    def wait_ms(self) -> float:
+        """Returns the time until a new task is likely to start there."""
+        ours = len(self.tasks_by_id)
+        others = self._others_now()
+        load = ours + others
+        ahead = load - self.announcement.slots + 1
+        if ahead <= 0:
+            return 0.0
+        work_ms = self._expected_ms + others * self.mean_run_ms
+        wait_ms = ahead / self.announcement.slots * work_ms / load
+        quiet_ms = self._clock.now_ms() - self._progress_ms
+        if ours and quiet_ms > self.mean_run_ms:
+            # No task has ended there for longer than one should take.
+            return max(wait_ms, quiet_ms)
+        return wait_ms
 
     def connected(self, connection: streams.Connection) -> None:
         """Takes up a new stream to the sidecar."""
         self.connection = connection
         self.leaving = False
-        self.others = 0
+        self.wanted = False
+        self._others = 0.0
+        self._others_mean = 0.0
+        self._progress_ms = self._clock.now_ms()
         self.observe_tick(connection.peer_tick_ms)
 
     def disconnected(self) -> None:
         """Gives up the stream; tasks there are in doubt until asked after."""
         self.connection = None
 
+    def add(self, task: jobs.Task) -> None:
+        """Counts a task as sent there."""
+        if not self.tasks_by_id:
+            self._progress_ms = self._clock.now_ms()
+        self.tasks_by_id[task.id] = task
+        self._expected_ms += task.expected_ms
+
+    def remove(self, task_id: str) -> jobs.Task | None:
+        """Counts a task as ended there and returns it, if it was sent."""
+        task = self.tasks_by_id.pop(task_id, None)
+        if task is not None:
+            self._expected_ms -= task.expected_ms
+        return task
+
+    def observe_run(self, run_ms: float) -> None:
+        """Takes the run time of a task that ended there."""
+        self._progress_ms = self._clock.now_ms()
+        self.mean_run_ms += (run_ms - self.mean_run_ms) * _RUN_WEIGHT
+
     def observe_tick(self, tick_ms: int) -> None:
         """Remembers the sidecar's time as of now."""
         self.tick = Tick(tick_ms, self._clock.now_ms())
 
-    def observe_load(self, report: messages.Result | messages.Running) -> None:
+    def observe_load(
+        self, report: messages.Result | messages.Running | messages.Room
+    ) -> None:
         """Takes the load that rides on a message; ours is subtracted."""
         self.observe_tick(report.tick_ms)
         total = report.busy + report.queued
-        self.others = max(0, total - len(self.tasks_by_id))
+        self._others = float(max(0, total - len(self.tasks_by_id)))
+        self._others_ms = self._clock.now_ms()
+        self._others_mean += (self._others - self._others_mean) * _LOAD_WEIGHT
 
     def to_sidecar_time(self, at_ms: int) -> int:
         """Returns a time of ours in the sidecar's clock, never later.
@@ -85,3 +143,8 @@
         if self.tick is None:
             return 0
         return self.tick.tick_ms + (at_ms - self.tick.received_ms)
+
+    def _others_now(self) -> float:
+        age_ms = self._clock.now_ms() - self._others_ms
+        known = math.exp2(-age_ms / max(1.0, self.mean_run_ms))
+        return self._others_mean + (self._others - self._others_mean) * known
--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/commands.py
@@ -107,6 +107,8 @@
 ) -> None:
     timer.cancel()
     job.ended_ms = state.clock.now_ms()
+    if job.state is not jobs.State.COMPLETE:
+        state.dispatcher.drop(job)
     failure = job.failure
     if failure is None or failure.kind is errors.Kind.CANCELED:
         return
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -1,69 +1,141 @@
 """Queues tasks and sends each to a backend server that can take it."""
 
 import asyncio
-import collections
-from collections.abc import Callable
+import dataclasses
 
 from sardineroute_core import clock
 from sardineroute_core import errors
 from sardineroute_core import messages
+from sardineroute_core import policy
 from sardinerouted.entry import backends
+from sardinerouted.entry import choice
+from sardinerouted.entry import health
 from sardinerouted.entry import jobs
 from sardinerouted.entry import ownership
+from sardinerouted.entry import queues
+from sardinerouted.entry import speeds
 
-_RETRY_MS = 10
+# With tasks queued, looks again at least so often; sends nothing by itself.
+_RECHECK_MS = 250
+_INDEX_MS = 100
+_OVERDUE_RATIO = 8.0
+_OVERDUE_MIN_MS = 500.0
+_MIN_OVERDUE_TASKS = 2
+_RECHECK_MIN_MS = 10
+_EXPECTED_REFUSALS = frozenset(
+    {
+        messages.TaskOutcome.REFUSED_FULL,
+        messages.TaskOutcome.REFUSED_CANCELED,
+    }
+)
 
-Choose = Callable[
-    [jobs.Task, list[backends.BackendServer]], backends.BackendServer | None
-]
 
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where an entry runs."""
 
-def least_outstanding(
-    task: jobs.Task, servers: list[backends.BackendServer]
-) -> backends.BackendServer | None:
-    """Returns the server with the fewest tasks for its slots."""
-    fitting = [
-        server
-        for server in servers
-        if server.usable
-        and server.has_room()
-        and task.job.submission.kind in server.announcement.kinds
-        and server.id not in task.excluded_server_ids
-    ]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda item: item.load / item.announcement.slots)
+    failure_domain: str = ""
+    region: str = ""
 
 
 class Dispatcher:
-    """The queued and sent tasks of the jobs at home here."""
+    """The queued and sent tasks of the jobs at home here.
+
+    Attributes:
+        speeds: Learned run times.
+        health: Which backend servers get work.
+    """
 
     def __init__(
         self,
         time: clock.Clock,
         servers_by_id: dict[str, backends.BackendServer],
         owned: ownership.Ownership,
-        choose: Choose = least_outstanding,
+        holder: policy.PolicyHolder,
+        place: Place = Place(),  # noqa: B008
     ) -> None:
         self._clock = time
         self._servers_by_id = servers_by_id
         self._ownership = owned
-        self._choose = choose
-        self._queues_by_kind: dict[str, collections.deque[jobs.Task]] = {}
-        self._retry: asyncio.TimerHandle | None = None
+        self._holder = holder
+        self.speeds = speeds.Speeds(time)
+        self.health = health.Health(time)
+        self._knowledge = choice.Knowledge(
+            self.speeds, self.health, place.failure_domain, place.region
+        )
+        self._fair = queues.FairQueue(holder, self._job_key)
+        self._fifo = queues.FifoQueue()
+        self._queue: queues.Queue = self._fair
+        self._policy_name = ""
+        self._choose = choice.make(choice.FASTEST, self._knowledge)
+        self._servers_by_kind: dict[str, list[backends.BackendServer]] = {}
+        self._indexed_ms = 0
+        self._withdrawn_by_server: dict[str, list[str]] = {}
+        self._recheck: asyncio.TimerHandle | None = None
+
+    @property
+    def queue(self) -> queues.Queue:
+        """Returns the queue in use."""
+        return self._queue
+
+    def servers_of(self, kind: str) -> list[backends.BackendServer]:
+        """Returns the announced backend servers that run a kind."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._indexed_ms > _INDEX_MS:
+            self._indexed_ms = now_ms
+            self._servers_by_kind.clear()
+        servers = self._servers_by_kind.get(kind)
+        if servers is None:
+            servers = [
+                server
+                for server in self._servers_by_id.values()
+                if kind in server.announcement.kinds
+            ]
+            for server in servers:
+                self.health.watch(server.id, server.announcement.kinds)
+            self._servers_by_kind[kind] = servers
+        return servers
 
     def enqueue(self, job: jobs.Job) -> None:
         """Queues all tasks of a job and sends what can be sent."""
-        queue = self._queue(job.submission.kind)
-        queue.extend(job.tasks)
+        self._follow_policy()
+        self._queue.add(job)
         self.pump()
 
+    def drop(self, job: jobs.Job) -> None:
+        """Removes the queued tasks of a job that has ended.
+
+        Those that wait at a sidecar are withdrawn, in one message for all
+        jobs that end at the same time.
+        """
+        self._queue.remove(job)
+        for task in job.tasks:
+            if task.phase is jobs.Phase.SENT:
+                self._withdraw(task)
+
     def pump(self) -> None:
         """Sends queued tasks while backend servers have room."""
-        for queue in self._queues_by_kind.values():
-            self._pump_queue(queue)
-        if any(self._queues_by_kind.values()):
-            self._retry_soon()
+        self._follow_policy()
+        placements = {
+            kind: self._place(kind, queued)
+            for kind, queued in self._queue.queued_by_kind().items()
+        }
+        costs_by_kind = {
+            kind: self.speeds.expected_ms(kind, placement.server.id)
+            for kind, placement in placements.items()
+            if placement.server is not None
+        }
+        while costs_by_kind:
+            task = self._queue.pick(costs_by_kind)
+            if task is None:
+                break
+            kind = task.job.submission.kind
+            server = placements[kind].server
+            if server is None or not self._send_to(server, task):
+                del costs_by_kind[kind]
+                continue
+            self._place_again(server, placements, costs_by_kind)
+        self._await_room(placements)
 
     def take(
         self,
@@ -71,40 +143,126 @@
         message: messages.Result | messages.Running,
     ) -> None:
         """Takes a sidecar's word on a task, and its load."""
-        task = server.tasks_by_id.get(message.task_id)
-        if isinstance(message, messages.Result):
-            server.tasks_by_id.pop(message.task_id, None)
+        if isinstance(message, messages.Running):
+            server.observe_load(message)
+            return
+        task = server.remove(message.task_id)
         server.observe_load(message)
-        if task is not None and isinstance(message, messages.Result):
+        if task is not None:
             self._end(server, task, message)
         self.pump()
 
+    def take_room(
+        self, server: backends.BackendServer, room: messages.Room
+    ) -> None:
+        """Takes a sidecar's word that it has room."""
+        server.wanted = False
+        server.observe_load(room)
+        self.pump()
+
     def lose(self, server: backends.BackendServer) -> None:
         """Ends the tasks of a sidecar whose memory is gone."""
         tasks = list(server.tasks_by_id.values())
-        server.tasks_by_id.clear()
         for task in tasks:
+            server.remove(task.id)
             task.phase = jobs.Phase.UNKNOWN
+            self._finish(task, 0.0)
             task.job.fail(
                 errors.Kind.OUTCOME_UNKNOWN,
                 f"worker {server.id} was lost with task {task.index}",
             )
+        self.health.forget(server.id)
+        self.speeds.forget(server.id)
+        self._servers_by_kind.clear()
         self.pump()
 
-    def _queue(self, kind: str) -> collections.deque[jobs.Task]:
-        return self._queues_by_kind.setdefault(kind, collections.deque())
+    def check_overdue(self) -> None:
+        """Ejects servers of whose tasks at least half are far overdue."""
+        now_ms = self._clock.now_ms()
+        for server in self._servers_by_id.values():
+            enough = max(_MIN_OVERDUE_TASKS, len(server.tasks_by_id) // 2)
+            overdue = sum(
+                task.overdue_ms < now_ms for task in server.tasks_by_id.values()
+            )
+            if overdue >= enough:
+                self.health.stalled(server.id)
+
+    def _follow_policy(self) -> None:
+        name = self._holder.current.dispatch
+        if name == self._policy_name:
+            return
+        self._policy_name = name
+        self._choose = choice.make(name, self._knowledge)
+        queue: queues.Queue = self._fair
+        if name == choice.FIFO:
+            queue = self._fifo
+        if queue is not self._queue:
+            queue.fill(self._queue.drain())
+            self._queue = queue
 
-    def _pump_queue(self, queue: collections.deque[jobs.Task]) -> None:
-        while queue:
-            task = queue[0]
-            if task.job.state is not jobs.State.RUNNING:
-                queue.popleft()
+    def _job_key(self, job: jobs.Job) -> float:
+        """Returns the time by which a job would be done if it ran alone."""
+        kind = job.submission.kind
+        slots = sum(one.announcement.slots for one in self.servers_of(kind))
+        work_ms = len(job.tasks) * self.speeds.kind_ms(kind)
+        return self._clock.now_ms() + work_ms / max(1, slots)
+
+    def _place(self, kind: str, queued: int) -> choice.Choice:
+        return self._choose(choice.Request(kind, self.servers_of(kind), queued))
+
+    def _place_again(
+        self,
+        server: backends.BackendServer,
+        placements: dict[str, choice.Choice],
+        costs_by_kind: dict[str, float],
+    ) -> None:
+        """Chooses again for the kinds that the server was chosen for."""
+        queued_by_kind = self._queue.queued_by_kind()
+        for kind in list(costs_by_kind):
+            if placements[kind].server is not server:
+                continue
+            queued = queued_by_kind.get(kind, 0)
+            if not queued:
+                del costs_by_kind[kind]
+                del placements[kind]
                 continue
-            server = self._choose(task, list(self._servers_by_id.values()))
-            if server is None:
-                return
-            queue.popleft()
-            self._send(server, task)
+            placement = self._place(kind, queued)
+            placements[kind] = placement
+            if placement.server is None:
+                del costs_by_kind[kind]
+            else:
+                costs_by_kind[kind] = self.speeds.expected_ms(
+                    kind, placement.server.id
+                )
+
+    def _send_to(self, server: backends.BackendServer, task: jobs.Task) -> bool:
+        """Sends a task there or to another; returns whether it was taken."""
+        if task.job.state is not jobs.State.RUNNING:
+            self._finish(task, 0.0)
+            return True
+        if server.id in task.excluded_server_ids:
+            kind = task.job.submission.kind
+            others = self._choose(
+                choice.Request(
+                    kind, self.servers_of(kind), 1, task.excluded_server_ids
+                )
+            )
+            if others.server is None:
+                self._put_back_or_fail(task)
+                return False
+            server = others.server
+        self._send(server, task)
+        return True
+
+    def _put_back_or_fail(self, task: jobs.Task) -> None:
+        kind = task.job.submission.kind
+        ids = {server.id for server in self.servers_of(kind)}
+        self._queue.put_back(task)
+        if ids <= task.excluded_server_ids:
+            task.job.fail(
+                errors.Kind.CANNOT_RUN,
+                f"every worker of kind {kind!r} was told not to start a task",
+            )
 
     def _send(self, server: backends.BackendServer, task: jobs.Task) -> None:
         submission = task.job.submission
@@ -112,6 +270,7 @@
         if server.connection is None:
             raise ValueError("the server has no connection")
         if grant is None:
+            self._finish(task, 0.0)
             task.job.fail(
                 errors.Kind.NOT_OWNER, "the lease on this job was lost"
             )
@@ -120,7 +279,11 @@
         task.phase = jobs.Phase.SENT
         task.server_id = server.id
         task.sent_ms = now_ms
-        server.tasks_by_id[task.id] = task
+        task.expected_ms = self.speeds.expected_ms(submission.kind, server.id)
+        patience_ms = (server.wait_ms() + task.expected_ms) * _OVERDUE_RATIO
+        task.overdue_ms = now_ms + int(max(patience_ms, _OVERDUE_MIN_MS))
+        server.add(task)
+        self.health.sent(server.id, task.id)
         server.connection.send(
             messages.Start(
                 task_id=task.id,
@@ -142,19 +305,34 @@
         result: messages.Result,
     ) -> None:
         outcome = messages.TaskOutcome(result.outcome)
+        if outcome.never_started:
+            self._requeue(server, task, outcome)
+            return
+        self._finish(task, float(result.run_ms))
+        server.observe_run(float(result.run_ms))
+        kind = task.job.submission.kind
         if outcome is messages.TaskOutcome.ANSWERED:
+            self.health.succeeded(
+                server.id, task.id, result.run_ms, task.expected_ms
+            )
+            self.speeds.learn(kind, server.id, float(result.run_ms))
             task.job.answer(task, result.body)
-        elif outcome is messages.TaskOutcome.FAILED:
+            return
+        self.health.failed(server.id, task.id, task.job.id)
+        self._fail(task, outcome, result.detail)
+
+    def _fail(
+        self, task: jobs.Task, outcome: messages.TaskOutcome, detail: str
+    ) -> None:
+        if outcome is messages.TaskOutcome.FAILED:
             task.phase = jobs.Phase.FAILED
-            task.job.fail(errors.Kind.TASK_FAILED, result.detail)
-        elif outcome.never_started:
-            self._requeue(server, task, outcome)
-        else:
-            task.phase = jobs.Phase.UNKNOWN
-            kind = errors.Kind.OUTCOME_UNKNOWN
-            if outcome is messages.TaskOutcome.TIMED_OUT:
-                kind = errors.Kind.TASK_TIMEOUT
-            task.job.fail(kind, result.detail)
+            task.job.fail(errors.Kind.TASK_FAILED, detail)
+            return
+        task.phase = jobs.Phase.UNKNOWN
+        kind = errors.Kind.OUTCOME_UNKNOWN
+        if outcome is messages.TaskOutcome.TIMED_OUT:
+            kind = errors.Kind.TASK_TIMEOUT
+        task.job.fail(kind, detail)
 
     def _requeue(
         self,
@@ -162,22 +340,77 @@
         task: jobs.Task,
         outcome: messages.TaskOutcome,
     ) -> None:
+        """Queues a task again that provably did not start."""
         task.phase = jobs.Phase.QUEUED
-        if outcome is messages.TaskOutcome.REFUSED_FULL:
-            server.others = server.announcement.slots
-        elif outcome is messages.TaskOutcome.NEVER_SEEN:
+        if outcome is messages.TaskOutcome.NEVER_SEEN:
             task.excluded_server_ids |= {server.id}
+        elif outcome not in _EXPECTED_REFUSALS:
+            self.health.refused(server.id, task.id)
         if task.job.state is jobs.State.RUNNING:
-            self._queue(task.job.submission.kind).appendleft(task)
+            self._queue.put_back(task)
+        else:
+            self._finish(task, 0.0)
 
-    def _retry_soon(self) -> None:
-        if self._retry is not None:
+    def _finish(self, task: jobs.Task, run_ms: float) -> None:
+        # Each queue knows the tasks taken from it; a change of policy leaves
+        # some behind in the other one.
+        self._fair.finish(task, run_ms)
+        self._fifo.finish(task, run_ms)
+
+    def _withdraw(self, task: jobs.Task) -> None:
+        server = self._servers_by_id.get(task.server_id)
+        if server is None or server.load <= server.announcement.slots:
+            return
+        if not self._withdrawn_by_server:
+            asyncio.get_running_loop().call_soon(self._send_withdrawals)
+        ids = self._withdrawn_by_server.setdefault(server.id, [])
+        ids.append(task.id)
+
+    def _send_withdrawals(self) -> None:
+        for server_id, task_ids in self._withdrawn_by_server.items():
+            server = self._servers_by_id.get(server_id)
+            if server is not None and server.connection is not None:
+                server.connection.send(messages.CancelTasks(tuple(task_ids)))
+        self._withdrawn_by_server.clear()
+
+    def _await_room(self, placements: dict[str, choice.Choice]) -> None:
+        """Makes sure that what stays queued is looked at again.
+
+        Load rides on answers. A sidecar that owes us none is asked to tell
+        when it has room.
+        """
+        if not self._queue.queued_by_kind():
+            return
+        for placement in placements.values():
+            server = placement.awaited
+            if placement.server is None and server is not None:
+                self._want(server)
+        if self._recheck is None:
+            loop = asyncio.get_running_loop()
+            self._recheck = loop.call_later(
+                self._recheck_in_ms() / 1_000, self._pump_again
+            )
+
+    def _want(self, server: backends.BackendServer) -> None:
+        if server.tasks_by_id or server.wanted or server.connection is None:
             return
-        loop = asyncio.get_running_loop()
-        self._retry = loop.call_later(_RETRY_MS / 1_000, self._pump_again)
+        server.wanted = True
+        server.connection.send(messages.Want(self._clock.now_ms()))
+
+    def _recheck_in_ms(self) -> int:
+        change_ms = self.health.next_change_ms()
+        if change_ms is None:
+            return _RECHECK_MS
+        left_ms = change_ms - self._clock.now_ms()
+        return min(max(left_ms, _RECHECK_MIN_MS), _RECHECK_MS)
 
     def _pump_again(self) -> None:
-        self._retry = None
-        for server in self._servers_by_id.values():
-            server.others = min(server.others, server.announcement.slots - 1)
+        self._recheck = None
         self.pump()
+
+
+async def watch_overdue(dispatcher: Dispatcher) -> None:
+    """Checks for overdue tasks until canceled."""
+    while True:
+        await asyncio.sleep(_RECHECK_MS / 1_000)
+        dispatcher.check_overdue()
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -51,7 +51,12 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
-    """One task of a job, with what is known of it."""
+    """One task of a job, with what is known of it.
+
+    `expected_ms` is the run time expected at the server it was sent to,
+    `overdue_ms` the time after which it is far too late, and `charged_ms`
+    what its team's share was charged for it.
+    """
 
     id: str
     index: int
@@ -62,6 +67,9 @@
     body: bytes = b""
     sent_ms: int = 0
     excluded_server_ids: frozenset[str] = frozenset()
+    expected_ms: float = 0.0
+    overdue_ms: int = 0
+    charged_ms: float = 0.0
 
 
 class Job:
--- a/packages/daemon/src/sardinerouted/entry/links.py
+++ b/packages/daemon/src/sardinerouted/entry/links.py
@@ -113,6 +113,8 @@
 ) -> None:
     if isinstance(message, messages.Result | messages.Running):
         dispatcher.take(server, message)
+    elif isinstance(message, messages.Room):
+        dispatcher.take_room(server, message)
     elif isinstance(message, messages.Pong):
         server.observe_tick(message.tick_ms)
     elif isinstance(message, messages.Leaving):
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -50,6 +50,7 @@
                 state.servers_by_id, options.streams.silence_ms, state.clock
             )
         ),
+        asyncio.create_task(dispatch.watch_overdue(state.dispatcher)),
     ]
     httpd.start(
         front.build(state, asyncio.get_running_loop()),
@@ -77,13 +78,17 @@
     identity = streams.Identity(options.id, messages.Role.ENTRY, ids.new_id())
     owned = ownership.Ownership(options.id, options.ownership.partitions, time)
     servers_by_id: dict[str, backends.BackendServer] = {}
+    holder = policy.PolicyHolder()
+    place = dispatch.Place(options.failure_domain, options.region)
     return entry_state.EntryState(
         options=options,
         identity=identity,
         clock=time,
         ownership=owned,
-        dispatcher=dispatch.Dispatcher(time, servers_by_id, owned),
-        policy=policy.PolicyHolder(),
+        dispatcher=dispatch.Dispatcher(
+            time, servers_by_id, owned, holder, place
+        ),
+        policy=holder,
         servers_by_id=servers_by_id,
     )
 
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -40,6 +40,7 @@
         self._waiting: collections.deque[_Queued] = collections.deque()
         self._connections_by_task_id: dict[str, streams.Connection] = {}
         self._connections: set[streams.Connection] = set()
+        self._wanting: dict[streams.Connection, None] = {}
         self._runs: set[asyncio.Task[None]] = set()
         self._busy = 0
         self._leaving = False
@@ -56,6 +57,7 @@
                 self._take(connection, message)
         finally:
             self._connections.discard(connection)
+            self._wanting.pop(connection, None)
 
     async def drain(self) -> None:
         """Takes no new work, and returns when all accepted tasks ended."""
@@ -74,6 +76,9 @@
             self._answer_ask(connection, message)
         elif isinstance(message, messages.CancelTasks):
             self._cancel(message)
+        elif isinstance(message, messages.Want):
+            self._wanting[connection] = None
+            self._tell_room()
         elif isinstance(message, messages.Ping):
             tick_ms = self._clock.now_ms()
             connection.send(messages.Pong(message.id, tick_ms))
@@ -156,8 +161,27 @@
         connection.send(self._result(start.task_id, outcome))
 
     def _is_full(self) -> bool:
+        # Entries aim at the announced queue without knowing of each other's
+        # latest starts; what they send too much waits rather than bounces.
+        return self._room() + self._options.queue <= 0
+
+    def _room(self) -> int:
         free = self._options.slots - self._busy
-        return len(self._waiting) >= free + self._options.queue
+        return free + self._options.queue - len(self._waiting)
+
+    def _tell_room(self) -> None:
+        """Tells as many of the entries that wait for room as there is."""
+        room = self._room()
+        count = len(self._wanting) if self._busy == 0 else room
+        while self._wanting and count > 0:
+            connection = next(iter(self._wanting))
+            del self._wanting[connection]
+            count -= 1
+            connection.send(
+                messages.Room(
+                    self._busy, len(self._waiting), self._clock.now_ms()
+                )
+            )
 
     def _fill_slots(self) -> None:
         while self._waiting and self._busy < self._options.slots:
@@ -182,6 +206,7 @@
             self._guard.end(result)
         if connection is not None:
             connection.send(result)
+        self._tell_room()
 
     def _result(
         self,
