--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -42,7 +42,9 @@
     servers_by_id: dict[str, backends.BackendServer] = {}
     jobs_by_id: dict[str, jobs.Job] = {}
     former_jobs_by_id: dict[str, jobs.Job] = {}
-    dispatcher = dispatch.Dispatcher(time, servers_by_id, owned)
+    holder = policy.PolicyHolder()
+    place = dispatch.Place(options.failure_domain, options.region)
+    dispatcher = dispatch.Dispatcher(time, servers_by_id, owned, holder, place)
     retention_ms = options.ownership.retention_ms
     table = witness.Table(time)
     keeping = keeper.Keeper(
@@ -64,7 +66,7 @@
         clock=time,
         ownership=owned,
         dispatcher=dispatcher,
-        policy=policy.PolicyHolder(),
+        policy=holder,
         servers_by_id=servers_by_id,
         peers=entries,
         table=table,
--- a/packages/daemon/src/sardinerouted/entry/home.py
+++ b/packages/daemon/src/sardinerouted/entry/home.py
@@ -131,6 +131,8 @@
 ) -> None:
     timer.cancel()
     job.ended_ms = state.clock.now_ms()
+    if job.state is not jobs.State.COMPLETE:
+        state.dispatcher.drop(job)
     failure = job.failure
     is_forgotten = job.forgotten
     if failure is not None and failure.kind is not errors.Kind.CANCELED:
