Split the HTTP front into small modules

Cause: entry/front.py held routing, authentication, parsing and problem documents, and the sidecar had a second, plainer front.

Change: package sardinerouted.web (requests, responses, routes, app, health) serves both roles; entry/auth, entry/parsing and entry/job_handlers hold what is the entry's own. A part that adds paths offers a table of routes, listed in entry/front.py. A handler returns a Response, or a Pending whose call runs on the event loop. 404, 405 (with Allow) and missing lengths are problem documents. Paths are split before they are decoded, so keys may hold slashes.

--- a/packages/core/src/sardineroute_core/errors.py
+++ b/packages/core/src/sardineroute_core/errors.py
@@ -23,6 +23,8 @@
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
+    REQUEST_TIMEOUT = "request_timeout"
+    LENGTH_REQUIRED = "length_required"
     TOO_LARGE = "too_large"
     KEY_REUSED = "key_reused"
     VERSION_REQUIRED = "version_required"
@@ -71,6 +73,8 @@
         Kind.FORBIDDEN: Answer(403, EXIT_REFUSED, False),
         Kind.NOT_FOUND: Answer(404, EXIT_FAILED, False),
         Kind.METHOD_NOT_ALLOWED: Answer(405, EXIT_REFUSED, False),
+        Kind.REQUEST_TIMEOUT: Answer(408, EXIT_REFUSED, True),
+        Kind.LENGTH_REQUIRED: Answer(411, EXIT_REFUSED, False),
         Kind.TOO_LARGE: Answer(413, EXIT_REFUSED, False),
         Kind.KEY_REUSED: Answer(422, EXIT_REFUSED, False),
         Kind.VERSION_REQUIRED: Answer(428, EXIT_REFUSED, False),
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/auth.py
@@ -0,0 +1,80 @@
+"""Tells who presents a bearer token."""
+
+import hmac
+from collections.abc import Mapping
+
+from sardineroute_core import errors
+from sardineroute_core import ids
+from sardineroute_core import settings
+from sardinerouted.web import requests
+
+_SCHEME = "bearer"
+
+
+class Tokens:
+    """The teams' and operators' tokens, held as hashes."""
+
+    def __init__(self, options: settings.Entry) -> None:
+        self._teams_by_hash = _names_by_hash(options.teams)
+        self._operators_by_hash = _names_by_hash(options.operators)
+
+    def team(self, request: requests.Request) -> str:
+        """Returns the name of the team that sent a request.
+
+        Raises:
+            errors.Error: It bears no token, an unknown one or an operator's.
+        """
+        presented = _presented(request)
+        name = _find(self._teams_by_hash, presented)
+        if name is not None:
+            return name
+        if _find(self._operators_by_hash, presented) is not None:
+            raise errors.Error(
+                errors.Kind.FORBIDDEN,
+                "an operator's token can't run jobs; a team's is required",
+            )
+        raise _unknown()
+
+    def operator(self, request: requests.Request) -> str:
+        """Returns the name of the operator that sent a request.
+
+        Raises:
+            errors.Error: It bears no token, an unknown one or a team's.
+        """
+        presented = _presented(request)
+        name = _find(self._operators_by_hash, presented)
+        if name is not None:
+            return name
+        if _find(self._teams_by_hash, presented) is not None:
+            raise errors.Error(
+                errors.Kind.FORBIDDEN,
+                "a team's token can't administer; an operator's is required",
+            )
+        raise _unknown()
+
+
+def _names_by_hash(tokens: list[settings.Token]) -> Mapping[str, str]:
+    return {token.sha256: token.name for token in tokens}
+
+
+def _presented(request: requests.Request) -> str:
+    header = request.header("Authorization")
+    scheme, _, token = header.partition(" ")
+    if scheme.lower() != _SCHEME or not token.strip():
+        raise errors.Error(
+            errors.Kind.UNAUTHORIZED,
+            "the header 'Authorization: Bearer TOKEN' is required",
+        )
+    return ids.token_hash(token.strip())
+
+
+def _find(names_by_hash: Mapping[str, str], presented: str) -> str | None:
+    found = None
+    for stored, name in names_by_hash.items():
+        if hmac.compare_digest(stored, presented):
+            found = name
+    return found
+
+
+def _unknown() -> errors.Error:
+    return errors.Error(errors.Kind.UNAUTHORIZED, "the token is not known")
--- a/packages/daemon/src/sardinerouted/httpd.py
+++ b/packages/daemon/src/sardinerouted/httpd.py
@@ -1,19 +1,15 @@
 """The HTTP server of a role: cherrypy with one WSGI application."""
 
-from collections.abc import Callable
-from typing import Any
-
 import cherrypy
 
 from sardineroute_core import settings
-
-WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
+from sardinerouted.web import app as web_app
 
 _HEADER_LIMIT_BYTES = 16_384
 
 
 def start(
-    app: WsgiApp,
+    app: web_app.WsgiApp,
     address: settings.Address,
     threads: int,
     listen_queue: int,
--- a/packages/daemon/src/sardinerouted/sidecar/process.py
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -1,14 +1,11 @@
 """The sidecar process: starts its parts, and stops them in order."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Any
 
 from sardineroute_core import clock
 from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import messages
-from sardineroute_core import metrics
 from sardineroute_core import platformlog
 from sardineroute_core import settings
 from sardineroute_core import streams
@@ -16,6 +13,9 @@
 from sardinerouted import membership
 from sardinerouted import signals
 from sardinerouted.sidecar import service
+from sardinerouted.web import app as web_app
+from sardinerouted.web import health
+from sardinerouted.web import routes
 
 _HTTP_THREADS = 2
 _HTTP_QUEUE = 16
@@ -41,8 +41,9 @@
         membership.publish(log, _announcement(options, incarnation))
     )
     draining = asyncio.Event()
+    table = health.table(lambda: announcing.done() and not draining.is_set())
     httpd.start(
-        _app(lambda: announcing.done() and not draining.is_set()),
+        web_app.build(routes.Table(table)),
         options.http,
         _HTTP_THREADS,
         _HTTP_QUEUE,
@@ -87,28 +88,3 @@
         slots=options.backend_server.slots,
         queue=options.backend_server.queue,
     )
-
-
-def _app(is_ready: Callable[[], bool]) -> httpd.WsgiApp:
-    def app(
-        environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> list[bytes]:
-        path = environ["PATH_INFO"]
-        status = "200 OK"
-        body = b"ok\n"
-        if path == "/metrics":
-            body = metrics.exposition()
-        elif path == "/readyz" and not is_ready():
-            status = "503 Service Unavailable"
-            body = b"not ready\n"
-        elif path not in ("/livez", "/readyz"):
-            status = "404 Not Found"
-            body = b"not found\n"
-        headers = [
-            ("Content-Type", "text/plain; charset=utf-8"),
-            ("Content-Length", str(len(body))),
-        ]
-        start_response(status, headers)
-        return [body]
-
-    return app
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for both roles: requests, responses, routes and the server."""
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/web/health.py
@@ -0,0 +1,31 @@
+"""What every role serves to the platform: liveness, readiness, metrics."""
+
+from collections.abc import Callable
+
+from sardineroute_core import metrics
+from sardinerouted.web import requests
+from sardinerouted.web import responses
+from sardinerouted.web import routes
+
+_EXPOSITION = "text/plain; version=0.0.4; charset=utf-8"
+
+
+def table(is_ready: Callable[[], bool]) -> list[routes.Route]:
+    """Returns the routes; `is_ready` says whether to send requests here."""
+
+    def livez(_: requests.Request) -> responses.Response:
+        return responses.text(200, "ok\n")
+
+    def readyz(_: requests.Request) -> responses.Response:
+        if is_ready():
+            return responses.text(200, "ok\n")
+        return responses.text(503, "not ready\n")
+
+    def exposition(_: requests.Request) -> responses.Response:
+        return responses.Response(200, _EXPOSITION, metrics.exposition())
+
+    return [
+        routes.Route("GET", "/livez", livez),
+        routes.Route("GET", "/readyz", readyz),
+        routes.Route("GET", "/metrics", exposition),
+    ]
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/web/responses.py
@@ -0,0 +1,87 @@
+"""Whole HTTP responses, and the problem documents that tell errors."""
+
+import dataclasses
+import http
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from sardineroute_core import errors
+
+JSON = "application/json"
+PROBLEM = "application/problem+json"
+TEXT = "text/plain; charset=utf-8"
+
+_SECOND_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """A whole HTTP response.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Value of the header `Content-Type`.
+        body: The whole body.
+        headers: More headers; `Content-Length` is added from `body`.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def status_line(self) -> str:
+        """Returns the status with its phrase."""
+        return f"{self.status} {http.HTTPStatus(self.status).phrase}"
+
+    def all_headers(self) -> list[tuple[str, str]]:
+        """Returns the headers, with type and length of the body."""
+        return [
+            ("Content-Type", self.content_type),
+            ("Content-Length", str(len(self.body))),
+            *self.headers,
+        ]
+
+
+def json_response(
+    document: Any,
+    status: int = 200,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Response:
+    """Returns a response that holds a JSON document."""
+    return Response(status, JSON, json.dumps(document).encode(), headers)
+
+
+def text(status: int, body: str) -> Response:
+    """Returns a response that holds plain text."""
+    return Response(status, TEXT, body.encode())
+
+
+def problem(
+    error: errors.Error,
+    extra: Mapping[str, Any] | None = None,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Response:
+    """Returns the problem document of an error.
+
+    Args:
+        error: What went wrong; its kind gives the status.
+        extra: More members of the document.
+        headers: More headers; `Retry-After` comes from the error.
+    """
+    status = errors.ANSWERS_BY_KIND[error.kind].status
+    document = {
+        "type": "about:blank",
+        "title": http.HTTPStatus(status).phrase,
+        "status": status,
+        "code": error.kind.value,
+        "ran": error.ran.value,
+        "detail": error.detail,
+        **(extra or {}),
+    }
+    if error.retry_after_ms > 0:
+        seconds = -(-error.retry_after_ms // _SECOND_MS)
+        headers = (*headers, ("Retry-After", str(seconds)))
+    return Response(status, PROBLEM, json.dumps(document).encode(), headers)
