--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -70,12 +70,16 @@
 
 
 class Http(_Section):
-    """The HTTP server of an entry."""
+    """The HTTP server of an entry; see the operators' page on settings."""
 
     listen: Address
-    threads: Annotated[int, pydantic.Field(ge=2, le=1_024)] = 96
+    threads: Annotated[int, pydantic.Field(ge=2, le=1_024)] = 16
     listen_queue: Annotated[int, pydantic.Field(ge=1)] = 512
+    max_connections: Annotated[int, pydantic.Field(ge=1)] = 1_024
     max_body_bytes: Annotated[int, pydantic.Field(ge=1)] = 4_194_304
+    request_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 10_000
+    response_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 30_000
+    idle_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 75_000
     tls: Tls | None = None
 
 
--- a/packages/daemon/src/sardinerouted/entry/front.py
+++ b/packages/daemon/src/sardinerouted/entry/front.py
@@ -7,6 +7,7 @@
 from sardinerouted.entry import queries
 from sardinerouted.entry import state as entry_state
 from sardinerouted.web import app
+from sardinerouted.web import exchanges
 from sardinerouted.web import health
 from sardinerouted.web import routes
 
@@ -15,10 +16,11 @@
     state: entry_state.EntryState, loop: asyncio.AbstractEventLoop
 ) -> app.WsgiApp:
     """Returns the application; its threads hand work to `loop`."""
+    handover = exchanges.Handover(loop)
     tokens = auth.Tokens(state.options)
     table = routes.Table(
         [
-            *job_handlers.table(state, loop, tokens),
+            *job_handlers.table(state, handover, tokens),
             *health.table(lambda: queries.is_ready(state)),
         ]
     )
--- a/packages/daemon/src/sardinerouted/entry/job_handlers.py
+++ b/packages/daemon/src/sardinerouted/entry/job_handlers.py
@@ -1,6 +1,5 @@
 """The callers' interface: submit, show and cancel jobs over HTTP."""
 
-import asyncio
 import json
 from collections.abc import Coroutine
 from typing import Any
@@ -13,6 +12,7 @@
 from sardinerouted.entry import parsing
 from sardinerouted.entry import queries
 from sardinerouted.entry import state as entry_state
+from sardinerouted.web import exchanges
 from sardinerouted.web import requests
 from sardinerouted.web import responses
 from sardinerouted.web import routes
@@ -22,7 +22,7 @@
 
 def table(
     state: entry_state.EntryState,
-    loop: asyncio.AbstractEventLoop,
+    handover: exchanges.Handover,
     tokens: auth.Tokens,
 ) -> list[routes.Route]:
     """Returns the routes of the callers' interface."""
@@ -47,7 +47,7 @@
         call: Coroutine[Any, Any, messages.Outcome], timeout_ms: int
     ) -> routes.Pending:
         wait_ms = timeout_ms + _ANSWER_MARGIN_MS
-        return routes.Pending(call, loop, wait_ms, render)
+        return routes.Pending(call, handover, wait_ms, render)
 
     lookup_ms = state.options.streams.silence_ms * 4
     return [
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -23,6 +23,7 @@
 from sardinerouted.entry import peers
 from sardinerouted.entry import roster
 from sardinerouted.entry import state as entry_state
+from sardinerouted.web import options as web_options
 
 _log = logs.part("entry")
 
@@ -53,11 +54,7 @@
     ]
     httpd.start(
         front.build(state, asyncio.get_running_loop()),
-        options.http.listen,
-        options.http.threads,
-        options.http.listen_queue,
-        options.http.max_body_bytes,
-        options.http.tls,
+        web_options.for_entry(options.http),
     )
     _log.info("Serving.", id=options.id)
     await signals.stop_requested()
@@ -122,6 +119,7 @@
     """Takes no new job, hands over, and finishes those in flight."""
     _log.info("Draining.")
     state.draining = True
+    httpd.drain()
     departure = membership.Departure(
         state.identity.id, messages.Role.ENTRY, state.identity.incarnation
     )
--- a/packages/daemon/src/sardinerouted/httpd.py
+++ b/packages/daemon/src/sardinerouted/httpd.py
@@ -1,48 +1,40 @@
-"""The HTTP server of a role: cherrypy with one WSGI application."""
+"""Starts and stops the HTTP server of a role through cherrypy."""
 
 import cherrypy
 
-from sardineroute_core import settings
+from sardineroute_core import clock
 from sardinerouted.web import app as web_app
+from sardinerouted.web import options as web_options
+from sardinerouted.web import server as web_server
 
-_HEADER_LIMIT_BYTES = 16_384
 
-
-def start(
-    app: web_app.WsgiApp,
-    address: settings.Address,
-    threads: int,
-    listen_queue: int,
-    max_body_bytes: int,
-    tls: settings.Tls | None = None,
-) -> None:
-    """Serves `app` from cherrypy's threads until `stop` is called."""
+def start(app: web_app.WsgiApp, options: web_options.Options) -> None:
+    """Serves `app` from threads of its own until `stop` is called."""
     cherrypy.tree.graft(app, "")
     cherrypy.config.update(
         {
             "environment": "embedded",
             "log.screen": False,
-            "server.socket_host": address.hostname,
-            "server.socket_port": address.port,
-            "server.thread_pool": threads,
-            "server.socket_queue_size": listen_queue,
-            "server.max_request_header_size": _HEADER_LIMIT_BYTES,
-            "server.max_request_body_size": max_body_bytes,
             "engine.autoreload.on": False,
+            "server.socket_host": options.listen.hostname,
+            "server.socket_port": options.listen.port,
+            "server.thread_pool": options.threads,
+            "server.socket_queue_size": options.listen_queue,
+            "server.max_request_header_size": options.max_header_bytes,
+            "server.max_request_body_size": options.max_body_bytes,
         }
     )
-    if tls is not None:
-        cherrypy.config.update(
-            {
-                "server.ssl_module": "builtin",
-                "server.ssl_certificate": str(tls.certificate),
-                "server.ssl_private_key": str(tls.key),
-            }
-        )
-    cherrypy.server.subscribe()
+    adapter = cherrypy.server
+    adapter.instance = web_server.Server(adapter, options, clock.Clock())
+    adapter.subscribe()
     cherrypy.engine.start()
 
 
+def drain() -> None:
+    """Lets each response from now on close its connection."""
+    cherrypy.server.instance.draining = True
+
+
 def stop() -> None:
-    """Finishes the requests in flight and closes the listening socket."""
+    """Answers the requests that have arrived, and closes everything."""
     cherrypy.engine.exit()
--- a/packages/daemon/src/sardinerouted/sidecar/process.py
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -15,12 +15,9 @@
 from sardinerouted.sidecar import service
 from sardinerouted.web import app as web_app
 from sardinerouted.web import health
+from sardinerouted.web import options as web_options
 from sardinerouted.web import routes
 
-_HTTP_THREADS = 2
-_HTTP_QUEUE = 16
-_MAX_BODY_BYTES = 1_024
-
 _log = logs.part("sidecar")
 
 
@@ -44,10 +41,7 @@
     table = health.table(lambda: announcing.done() and not draining.is_set())
     httpd.start(
         web_app.build(routes.Table(table)),
-        options.http,
-        _HTTP_THREADS,
-        _HTTP_QUEUE,
-        _MAX_BODY_BYTES,
+        web_options.for_sidecar(options.http),
     )
     _log.info("Serving.", id=options.id, incarnation=incarnation)
     await signals.stop_requested()
--- a/packages/daemon/src/sardinerouted/web/app.py
+++ b/packages/daemon/src/sardinerouted/web/app.py
@@ -1,46 +1,84 @@
 """The WSGI application of a role: routes requests and answers errors."""
 
-import asyncio
-import concurrent.futures
+import threading
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
+from typing import TypeVar
 
 from sardineroute_core import errors
 from sardineroute_core import logs
+from sardinerouted.web import exchanges
 from sardinerouted.web import requests
 from sardinerouted.web import responses
 from sardinerouted.web import routes
 
-WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+_T = TypeVar("_T")
 
 _log = logs.part("http")
 
 
 def build(table: routes.Table, max_body_bytes: int = 0) -> WsgiApp:
-    """Returns the application that answers by a table of routes."""
+    """Returns the application that answers by a table of routes.
+
+    Under our own server a request with a pending response is parked, and its
+    thread is free; under any other WSGI server the thread waits.
+    """
 
     def app(
         environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> list[bytes]:
-        response = answer(table, environ, max_body_bytes)
-        start_response(response.status_line, response.all_headers())
-        return [response.body]
+    ) -> Iterable[bytes]:
+        request = requests.Request(environ, max_body_bytes)
+        outcome = _guarded(lambda: table.handle(request))
+        if isinstance(outcome, routes.Pending):
+            exchange = environ.get(exchanges.ENVIRON_KEY)
+            if isinstance(exchange, exchanges.Exchange):
+                _park(outcome, exchange)
+                return []
+            outcome = _wait(outcome)
+        start_response(outcome.status_line, outcome.all_headers())
+        return [outcome.body]
 
     return app
 
 
-def answer(
-    table: routes.Table, environ: dict[str, Any], max_body_bytes: int
+def _park(pending: routes.Pending, exchange: exchanges.Exchange) -> None:
+    exchange.park(lambda result: _respond(pending, result))
+    pending.handover.run(pending.call, pending.wait_ms, exchange.finish)
+
+
+def _wait(pending: routes.Pending) -> responses.Response:
+    ended = threading.Event()
+    results: list[exchanges.Result] = []
+
+    def finish(result: exchanges.Result) -> None:
+        results.append(result)
+        ended.set()
+
+    pending.handover.run(pending.call, pending.wait_ms, finish)
+    ended.wait()
+    return _respond(pending, results[0])
+
+
+def _respond(
+    pending: routes.Pending, result: exchanges.Result
 ) -> responses.Response:
-    """Returns the response to one request; never raises an error."""
+    def render() -> responses.Response:
+        if result.error is not None:
+            raise result.error
+        return pending.render(result.value)
+
+    return _guarded(render)
+
+
+def _guarded(call: Callable[[], _T]) -> _T | responses.Response:
+    """Returns what the call returns, or the response for its error."""
     try:
-        request = requests.Request(environ, max_body_bytes)
-        outcome = table.handle(request)
-        if isinstance(outcome, routes.Pending):
-            outcome = _wait(outcome)
-        return outcome
-    except TimeoutError:
-        # The server answers a body that doesn't arrive.
+        return call()
+    except (TimeoutError, ConnectionError):
+        # The server answers for a body that doesn't arrive.
         raise
     except routes.MethodNotAllowed as error:
         allow = ("Allow", ", ".join(error.allowed))
@@ -56,16 +94,3 @@
                 errors.Ran.UNKNOWN,
             )
         )
-
-
-def _wait(pending: routes.Pending) -> responses.Response:
-    future = asyncio.run_coroutine_threadsafe(pending.call, pending.loop)
-    try:
-        result = future.result(pending.wait_ms / 1_000)
-    except concurrent.futures.TimeoutError as error:
-        raise errors.Error(
-            errors.Kind.OUTCOME_UNKNOWN,
-            "no outcome was known in time",
-            errors.Ran.UNKNOWN,
-        ) from error
-    return pending.render(result)
--- a/packages/daemon/src/sardinerouted/web/routes.py
+++ b/packages/daemon/src/sardinerouted/web/routes.py
@@ -1,12 +1,12 @@
 """Finds the handler of a request by its path and method."""
 
-import asyncio
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
 
 from sardineroute_core import errors
+from sardinerouted.web import exchanges
 from sardinerouted.web import requests
 from sardinerouted.web import responses
 
@@ -17,14 +17,14 @@
 
     Attributes:
         call: Runs on the event loop; errors it raises are answered.
-        loop: The event loop.
+        handover: Brings the call to the event loop.
         wait_ms: Longest wait for the call.
         render: Returns the response for the call's result; runs on a thread
             of the HTTP server.
     """
 
     call: Coroutine[Any, Any, Any]
-    loop: asyncio.AbstractEventLoop
+    handover: exchanges.Handover
     wait_ms: int
     render: Callable[[Any], responses.Response]
 
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -0,0 +1,178 @@
+"""The HTTP server: the one of cherrypy, with deadlines and one error form."""
+
+import time
+from typing import Any
+
+from cheroot import connections
+from cheroot import server as cheroot_server
+from cherrypy import _cpwsgi_server
+
+from sardineroute_core import clock
+from sardineroute_core import logs
+from sardinerouted.web import connection
+from sardinerouted.web import lingering
+from sardinerouted.web import options as web_options
+from sardinerouted.web import tls
+
+_STOP_GRACE_MS = 100
+_STOP_POLL_MS = 5
+
+_log = logs.part("http")
+
+
+class _ConnectionManager(connections.ConnectionManager):  # type: ignore[misc]
+    """The idle connections; the longest idle one makes room for a new one."""
+
+    def put(self, conn: connection.Connection) -> None:
+        """Watches an idle connection for its next request."""
+        if conn.last_used is None:
+            self._make_room()
+        super().put(conn)
+
+    def accept_pending(self) -> None:
+        """Accepts what the kernel holds; only for a stopping server."""
+        self.server.socket.settimeout(0)
+        while True:
+            conn = self._from_server_socket(self.server.socket)
+            if conn is None:
+                return
+            self.put(conn)
+
+    def take_readable(self, timeout_s: float) -> list[connection.Connection]:
+        """Returns idle connections on which a request has begun to arrive.
+
+        Only for a stopping server, whose selector loop has ended.
+        """
+        ready = []
+        for descriptor, conn in self._selector.select(timeout_s):
+            if conn is not self.server:
+                self._selector.unregister(descriptor)
+                ready.append(conn)
+        return ready
+
+    def forget_listener(self) -> None:
+        """Stops watching for new connections."""
+        self._selector.unregister(self.server.socket.fileno())
+
+    def _make_room(self) -> None:
+        if self._num_connections < self.server.options.max_connections:
+            return
+        # The selector keeps connections in the order they became idle.
+        idle = [
+            item
+            for item in self._selector.connections
+            if item[1] is not self.server
+        ]
+        if idle:
+            descriptor, oldest = idle[0]
+            self._selector.unregister(descriptor)
+            oldest.close()
+
+
+class Server(_cpwsgi_server.CPWSGIServer):  # type: ignore[misc]
+    """Serves the application from a pool of threads.
+
+    Attributes:
+        options: Limits and timeouts.
+        clock: Gives the time of the deadlines.
+        draining: Whether each response closes its connection.
+    """
+
+    ConnectionClass = connection.Connection
+
+    def __init__(
+        self, adapter: Any, options: web_options.Options, time: clock.Clock
+    ) -> None:
+        super().__init__(adapter)
+        # The library's constructor has set its own class here.
+        self.ConnectionClass.RequestHandlerClass = connection.Request
+        self.options = options
+        self.clock = time
+        self.draining = False
+        self.gateway = connection.Gateway
+        self.timeout = options.idle_timeout_ms / 1_000
+        self.keep_alive_conn_limit = options.max_connections
+        if options.tls is not None:
+            self.ssl_adapter = tls.Adapter(options.tls)
+        self._in_flight: set[connection.Connection] = set()
+        self._lingering = lingering.Lingering()
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Returns whether a response may leave its connection open."""
+        return not self.draining and bool(super().can_add_keepalive_connection)
+
+    def prepare(self) -> None:
+        """Opens the listening socket and starts the threads."""
+        super().prepare()
+        self._connections._selector.close()  # noqa: SLF001
+        self._connections = _ConnectionManager(self)
+
+    def process_conn(self, conn: connection.Connection) -> None:
+        """Queues a connection with a request for the threads.
+
+        A new one waits among the idle ones for its first bytes, so that a
+        caller that sends nothing holds no thread.
+        """
+        if conn.last_used is None:
+            self._connections.put(conn)
+            return
+        self._in_flight.add(conn)
+        self.requests.put(conn)
+
+    def put_conn(self, conn: connection.Connection) -> None:
+        """Takes a connection back from a thread."""
+        if conn.parked:
+            conn.release()
+            return
+        self._in_flight.discard(conn)
+        super().put_conn(conn)
+
+    def ended(self, conn: connection.Connection) -> None:
+        """Hears that a connection is being closed."""
+        self._in_flight.discard(conn)
+
+    def linger(self, conn: connection.Connection) -> bool:
+        """Returns whether a connection will be closed later, politely."""
+        return self._lingering.take(conn.discard)
+
+    def stop(self) -> None:
+        """Answers what has arrived, then closes all connections."""
+        if not self.ready:
+            return
+        self.draining = True
+        self.ready = False
+        self._unservicable_conns.put(cheroot_server._STOPPING_FOR_INTERRUPT)
+        self._connections.stop()
+        self._take_last_requests()
+        self._await_in_flight()
+        self._connections.close()
+        self.requests.stop(self.shutdown_timeout)
+        self._lingering.close()
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Logs what the library reports."""
+        _log.log(level, "The server reports.", what=msg, exc_info=traceback)
+
+    def _take_last_requests(self) -> None:
+        end_ms = self.clock.now_ms() + _STOP_GRACE_MS
+        while self.clock.now_ms() < end_ms:
+            self._connections.accept_pending()
+            self._process(_STOP_POLL_MS)
+        self._connections.accept_pending()
+        self._connections.forget_listener()
+        self.socket.close()
+        self._process(0)
+
+    def _process(self, wait_ms: int) -> None:
+        for conn in self._connections.take_readable(wait_ms / 1_000):
+            self.process_conn(conn)
+
+    def _await_in_flight(self) -> None:
+        end_ms = self.clock.now_ms() + self.options.stop_timeout_ms
+        while self._in_flight and self.clock.now_ms() < end_ms:
+            time.sleep(_STOP_POLL_MS / 1_000)
+        if self._in_flight:
+            _log.warning("Requests are cut.", count=len(self._in_flight))
--- a/packages/standins/src/sardineroute_standins/layout.py
+++ b/packages/standins/src/sardineroute_standins/layout.py
@@ -52,7 +52,7 @@
     connections: int = 64
     queue: int = 4
     task_timeout_ms: int = 30_000
-    http_threads: int = 96
+    http_threads: int = 16
     silence_ms: int = 1_000
     ownership: settings.Ownership = settings.Ownership()
     drain_timeout_ms: int = 60_000
