--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/commands.py
@@ -74,7 +74,9 @@
     """Cancels a job at home here; tasks that started go on."""
     job = state.jobs_by_id.get(ids.job_id(team, key))
     if job is None:
-        raise errors.Error(errors.Kind.NOT_FOUND, "no such job is known")
+        raise errors.Error(
+            errors.Kind.NOT_FOUND, "no such job is known", errors.Ran.UNKNOWN
+        )
     job.fail(errors.Kind.CANCELED, "canceled by the caller")
     return jobs.to_outcome(job, 0)
 
--- a/packages/daemon/src/sardinerouted/entry/queries.py
+++ b/packages/daemon/src/sardinerouted/entry/queries.py
@@ -33,7 +33,9 @@
     """
     job = state.jobs_by_id.get(ids.job_id(team, key))
     if job is None:
-        raise errors.Error(errors.Kind.NOT_FOUND, "no such job is known")
+        raise errors.Error(
+            errors.Kind.NOT_FOUND, "no such job is known", errors.Ran.UNKNOWN
+        )
     return jobs.to_outcome(job, 0)
 
 
--- a/packages/daemon/src/sardinerouted/web/responses.py
+++ b/packages/daemon/src/sardinerouted/web/responses.py
@@ -84,4 +84,6 @@
     if error.retry_after_ms > 0:
         seconds = -(-error.retry_after_ms // _SECOND_MS)
         headers = (*headers, ("Retry-After", str(seconds)))
+    if error.kind is errors.Kind.UNAUTHORIZED:
+        headers = (*headers, ("WWW-Authenticate", "Bearer"))
     return Response(status, PROBLEM, json.dumps(document).encode(), headers)
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -89,6 +89,8 @@
         self.options = options
         self.clock = time
         self.draining = False
+        self.ready = False
+        self.server_name = "sardineroute"
         self.gateway = connection.Gateway
         self.timeout = options.idle_timeout_ms / 1_000
         self.keep_alive_conn_limit = options.max_connections
@@ -105,8 +107,9 @@
     def prepare(self) -> None:
         """Opens the listening socket and starts the threads."""
         super().prepare()
-        self._connections._selector.close()  # noqa: SLF001
-        self._connections = _ConnectionManager(self)
+        unused: Any = self._connections
+        unused._selector.close()  # noqa: SLF001
+        self._connections: Any = _ConnectionManager(self)
 
     def process_conn(self, conn: connection.Connection) -> None:
         """Queues a connection with a request for the threads.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -90,3 +90,15 @@
     pool = urllib3.PoolManager(maxsize=256, retries=False, timeout=20.0)
     yield pool
     pool.clear()
+
+
+def small_fleet(folder: pathlib.Path) -> Iterator[fleet_module.Fleet]:
+    """Yields a fleet of one entry and one backend server, then stops it."""
+    made = fleet_module.Fleet(
+        layout.Options(entries=1, backend_servers=1), folder
+    )
+    try:
+        made.start()
+        yield made
+    finally:
+        made.stop(graceful=False)
