--- a/packages/daemon/src/sardinerouted/httpd.py
+++ b/packages/daemon/src/sardinerouted/httpd.py
@@ -2,7 +2,6 @@
 
 import cherrypy
 
-from sardineroute_core import clock
 from sardinerouted.web import app as web_app
 from sardinerouted.web import options as web_options
 from sardinerouted.web import server as web_server
@@ -16,17 +15,12 @@
             "environment": "embedded",
             "log.screen": False,
             "engine.autoreload.on": False,
-            "server.socket_host": options.listen.hostname,
-            "server.socket_port": options.listen.port,
-            "server.thread_pool": options.threads,
-            "server.socket_queue_size": options.listen_queue,
-            "server.max_request_header_size": options.max_header_bytes,
-            "server.max_request_body_size": options.max_body_bytes,
         }
     )
-    adapter = cherrypy.server
-    adapter.instance = web_server.Server(adapter, options, clock.Clock())
-    adapter.subscribe()
+    cherrypy.server.instance = web_server.make(
+        cherrypy.server, cherrypy.tree, options
+    )
+    cherrypy.server.subscribe()
     cherrypy.engine.start()
 
 
--- a/packages/daemon/src/sardinerouted/web/options.py
+++ b/packages/daemon/src/sardinerouted/web/options.py
@@ -26,6 +26,7 @@
         request_timeout_ms: Time for a whole request to arrive.
         response_timeout_ms: Time for a whole response to be taken.
         idle_timeout_ms: Time that an idle connection is kept.
+        stop_grace_ms: Time in which a stopping server takes last requests.
         stop_timeout_ms: Time for requests in flight when the server stops.
         tls: Certificate files, for HTTPS.
     """
@@ -39,6 +40,7 @@
     request_timeout_ms: int = 10_000
     response_timeout_ms: int = 30_000
     idle_timeout_ms: int = 75_000
+    stop_grace_ms: int = 100
     stop_timeout_ms: int = 5_000
     tls: settings.Tls | None = None
 
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -1,5 +1,6 @@
 """The HTTP server: the one of cherrypy, with deadlines and one error form."""
 
+import queue
 import time
 from typing import Any
 
@@ -9,12 +10,12 @@
 
 from sardineroute_core import clock
 from sardineroute_core import logs
+from sardinerouted.web import app as web_app
 from sardinerouted.web import connection
 from sardinerouted.web import lingering
 from sardinerouted.web import options as web_options
 from sardinerouted.web import tls
 
-_STOP_GRACE_MS = 100
 _STOP_POLL_MS = 5
 
 _log = logs.part("http")
@@ -96,6 +97,10 @@
         self.keep_alive_conn_limit = options.max_connections
         if options.tls is not None:
             self.ssl_adapter = tls.Adapter(options.tls)
+        # The library's own queue takes a lock and a condition in Python.
+        waiting: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self.requests._queue = waiting  # noqa: SLF001
+        self.requests.get = waiting.get
         self._in_flight: set[connection.Connection] = set()
         self._lingering = lingering.Lingering()
 
@@ -160,7 +165,7 @@
         _log.log(level, "The server reports.", what=msg, exc_info=traceback)
 
     def _take_last_requests(self) -> None:
-        end_ms = self.clock.now_ms() + _STOP_GRACE_MS
+        end_ms = self.clock.now_ms() + self.options.stop_grace_ms
         while self.clock.now_ms() < end_ms:
             self._connections.accept_pending()
             self._process(_STOP_POLL_MS)
@@ -179,3 +184,24 @@
             time.sleep(_STOP_POLL_MS / 1_000)
         if self._in_flight:
             _log.warning("Requests are cut.", count=len(self._in_flight))
+
+
+def make(
+    adapter: Any, app: web_app.WsgiApp, options: web_options.Options
+) -> Server:
+    """Returns a server that isn't started yet.
+
+    Args:
+        adapter: The cherrypy server object that will control it.
+        app: What answers the requests.
+        options: Limits and timeouts.
+    """
+    adapter.socket_host = options.listen.hostname
+    adapter.socket_port = options.listen.port
+    adapter.socket_queue_size = options.listen_queue
+    adapter.thread_pool = options.threads
+    adapter.max_request_header_size = options.max_header_bytes
+    adapter.max_request_body_size = options.max_body_bytes
+    server = Server(adapter, options, clock.Clock())
+    server.wsgi_app = app
+    return server
--- /dev/null
+++ b/tests/test_web_server.py
@@ -0,0 +1,194 @@
+"""The HTTP server by itself: slow, silent and many callers, and its stop."""
+
+import asyncio
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import pytest
+from cherrypy import _cpserver
+
+from sardineroute_core import settings
+from sardinerouted.web import app
+from sardinerouted.web import exchanges
+from sardinerouted.web import options
+from sardinerouted.web import requests
+from sardinerouted.web import responses
+from sardinerouted.web import routes
+from sardinerouted.web import server as web_server
+
+TIMEOUT_S = 10.0
+WAIT_S = 0.3
+LISTEN = settings.Address.model_validate({"host": "127.0.0.1", "port": 0})
+
+Start = Callable[[options.Options], web_server.Server]
+
+
+@pytest.fixture
+def loop() -> Iterator[asyncio.AbstractEventLoop]:
+    made = asyncio.new_event_loop()
+    thread = threading.Thread(target=made.run_forever)
+    thread.start()
+    yield made
+    made.call_soon_threadsafe(made.stop)
+    thread.join()
+    made.close()
+
+
+@pytest.fixture
+def start(loop: asyncio.AbstractEventLoop) -> Iterator[Start]:
+    """Starts servers with the paths /now, /later, /body and /bug."""
+    handover = exchanges.Handover(loop)
+
+    def now(_: requests.Request) -> responses.Response:
+        return responses.text(200, "now")
+
+    def later(_: requests.Request) -> routes.Pending:
+        return routes.Pending(asyncio.sleep(WAIT_S), handover, 10_000, now)
+
+    def overdue(_: requests.Request) -> routes.Pending:
+        return routes.Pending(asyncio.sleep(WAIT_S), handover, 10, now)
+
+    def body(request: requests.Request) -> responses.Response:
+        return responses.text(200, str(len(request.body())))
+
+    def bug(_: requests.Request) -> responses.Response:
+        raise RuntimeError("a bug")
+
+    table = routes.Table(
+        [
+            routes.Route("GET", "/now", now),
+            routes.Route("GET", "/later", later),
+            routes.Route("GET", "/overdue", overdue),
+            routes.Route("POST", "/body", body),
+            routes.Route("GET", "/bug", bug),
+        ]
+    )
+    with contextlib.ExitStack() as started:
+
+        def make(chosen: options.Options) -> web_server.Server:
+            served = app.build(table, chosen.max_body_bytes)
+            server = web_server.make(_cpserver.Server(), served, chosen)
+            server.prepare()
+            thread = threading.Thread(target=server.serve)
+            thread.start()
+            started.callback(thread.join)
+            started.callback(server.stop)
+            return server
+
+        yield make
+
+
+class Connection:
+    """A raw connection of a caller."""
+
+    def __init__(self, server: web_server.Server) -> None:
+        self._socket = socket.create_connection(server.bind_addr, TIMEOUT_S)
+        self._file = self._socket.makefile("rb")
+
+    def send(self, text: str) -> None:
+        """Sends text as it is."""
+        self._socket.sendall(text.encode())
+
+    def get(self, path: str) -> None:
+        """Sends a whole request."""
+        self.send(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    def receive(self) -> tuple[int, str]:
+        """Returns status and body; status 0 where it was closed."""
+        status_line = self._file.readline()
+        if not status_line:
+            return 0, ""
+        size = 0
+        while (line := self._file.readline()) != b"\r\n":
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                size = int(value)
+        return int(status_line.split()[1]), self._file.read(size).decode()
+
+
+def test_waiting_and_silent_callers_hold_no_thread(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2))
+    silent = [Connection(server) for _ in range(20)]
+    waiting = [Connection(server) for _ in range(20)]
+    began_s = time.monotonic()
+    for connection in waiting:
+        connection.get("/later")
+    quick = Connection(server)
+    quick.get("/now")
+    assert quick.receive() == (200, "now")
+    assert time.monotonic() - began_s < WAIT_S
+    assert {connection.receive() for connection in waiting} == {(200, "now")}
+    assert time.monotonic() - began_s < 5 * WAIT_S
+    for connection in [*silent, *waiting]:
+        connection.get("/now")
+        assert connection.receive() == (200, "now")
+
+
+def test_slow_body_is_given_up_and_told(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2, request_timeout_ms=400))
+    slow = [Connection(server) for _ in range(2)]
+    for connection in slow:
+        connection.send("POST /body HTTP/1.1\r\nContent-Length: 9\r\n\r\n")
+    for _ in range(6):
+        time.sleep(0.1)  # A byte now and then must not extend the deadline.
+        with contextlib.suppress(OSError):
+            slow[0].send("x")
+    for connection in slow:
+        status, body = connection.receive()
+        assert status == 408
+        assert '"request_timeout"' in body
+        assert connection.receive() == (0, "")
+    after = Connection(server)
+    after.send("POST /body HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")
+    assert after.receive() == (200, "3")
+
+
+def test_longest_idle_connection_makes_room(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2, max_connections=10))
+    idle = [Connection(server) for _ in range(10)]
+    idle[0].get("/now")
+    assert idle[0].receive() == (200, "now")
+    for _ in range(5):
+        new = Connection(server)
+        new.get("/now")
+        assert new.receive() == (200, "now")
+    assert idle[1].receive() == (0, "")
+    idle[9].get("/now")
+    assert idle[9].receive() == (200, "now")
+
+
+def test_bug_and_overdue_call_are_answered_as_unknown(start: Start) -> None:
+    server = start(options.Options(LISTEN))
+    connection = Connection(server)
+    for path, status, code in (
+        ("/bug", 500, '"internal"'),
+        ("/overdue", 502, '"outcome_unknown"'),
+    ):
+        connection.get(path)
+        found, body = connection.receive()
+        assert found == status
+        assert code in body
+        assert '"ran": "unknown"' in body
+
+
+def test_stop_answers_what_has_arrived(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2, stop_grace_ms=2_000))
+    idle = [Connection(server) for _ in range(5)]
+    waiting = [Connection(server) for _ in range(20)]
+    for connection in waiting:
+        connection.get("/later")
+    stopping = threading.Thread(target=server.stop)
+    stopping.start()
+    fresh = [Connection(server) for _ in range(10)]
+    for connection in [*idle, *fresh]:
+        connection.get("/later")
+    for connection in [*waiting, *idle, *fresh]:
+        assert connection.receive() == (200, "now")
+        assert connection.receive() == (0, "")
+    stopping.join()
+    with pytest.raises(ConnectionRefusedError):
+        Connection(server)
