Tell each settings error in full, and read the secret from a file

Cause: a missing key printed its whole section, secrets included; a key given twice was taken silently; certificate files were first read when serving.

Change: yamlfile refuses keys given twice, explain turns validation errors into lines with key, what was found and what is allowed; certificates are loaded when the file is checked; streams.secret_file; one hash for two names is refused.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -1,15 +1,20 @@
 """Settings files of the daemon: YAML, checked in full before use."""
 
 import pathlib
+import ssl
 from typing import Annotated
 from typing import Any
 from typing import Literal
+from typing import Self
 
 import pydantic
-import yaml
+
+from sardineroute_core import explain
+from sardineroute_core import yamlfile
 
 _Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 _Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
+_Url = Annotated[str, pydantic.Field(pattern=r"^https?://[^/\s]+")]
 _Sha256 = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -40,11 +45,32 @@
     key: pathlib.Path
     authority: pathlib.Path
 
+    @pydantic.model_validator(mode="after")
+    def _check_files(self) -> Self:
+        context = ssl.create_default_context()
+        for path in (self.certificate, self.key, self.authority):
+            _check_readable(path)
+        try:
+            context.load_cert_chain(self.certificate, self.key)
+        except ssl.SSLError as error:
+            raise ValueError(
+                f"found {self.certificate} and {self.key}; a certificate and "
+                f"its key in PEM form are allowed: {error}"
+            ) from error
+        try:
+            context.load_verify_locations(self.authority)
+        except ssl.SSLError as error:
+            raise ValueError(
+                f"authority: found {self.authority}; certificates in PEM form "
+                f"are allowed: {error}"
+            ) from error
+        return self
+
 
 class Log(_Section):
     """The platform's log service."""
 
-    url: str
+    url: _Url
     timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 1_000
 
 
@@ -56,10 +82,21 @@
 
 
 class Traces(_Section):
-    """Where finished spans go; `file` takes one JSON object a line."""
+    """Where finished spans go; `file` takes one JSON object a line.
+
+    `sample` is the share of the jobs that are traced, unless the caller's
+    `traceparent` says whether to trace.
+    """
 
     exporter: Literal["none", "console", "file"] = "none"
     file: pathlib.Path | None = None
+    sample: Annotated[float, pydantic.Field(ge=0.0, le=1.0)] = 1.0
+
+    @pydantic.model_validator(mode="after")
+    def _check_file(self) -> Self:
+        if self.exporter == "file" and self.file is None:
+            raise ValueError("file: found nothing; exporter file requires it")
+        return self
 
 
 class Token(_Section):
@@ -87,18 +124,36 @@
     """The msgpack streams between the daemon's processes.
 
     `advertise` is where peers reach `listen`, if that is another address.
-    A stream silent for `silence_ms` while an answer is awaited is checked;
-    tasks at a process out of reach for `unreachable_ms` are given up.
+    The secret, which all processes of a fleet share, stands here or in
+    `secret_file`. A stream silent for `silence_ms` while an answer is awaited
+    is checked; tasks at a process out of reach for `unreachable_ms` are given
+    up.
     """
 
     listen: Address
     advertise: Address | None = None
-    secret: Annotated[str, pydantic.Field(min_length=16)]
+    secret: Annotated[str, pydantic.Field(min_length=16, repr=False)]
+    secret_file: pathlib.Path | None = None
     silence_ms: Annotated[int, pydantic.Field(ge=50)] = 1_000
     unreachable_ms: Annotated[int, pydantic.Field(ge=100)] = 10_000
     connect_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 1_000
     tls: Tls | None = None
 
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _read_secret(cls, data: Any) -> Any:
+        if not isinstance(data, dict) or data.get("secret_file") is None:
+            return data
+        if data.get("secret") is not None:
+            raise ValueError(
+                "found both secret and secret_file; one of them is allowed"
+            )
+        path = pathlib.Path(str(data["secret_file"]))
+        _check_readable(path)
+        secret = path.read_text(encoding="utf-8").strip()
+        # The file's own key is dropped, so that the section can be copied.
+        return {**data, "secret": secret, "secret_file": None}
+
 
 class Ownership(_Section):
     """How entries share the key space."""
@@ -112,7 +167,7 @@
 class BackendServer(_Section):
     """The backend server beside a sidecar."""
 
-    url: str
+    url: _Url
     kinds: Annotated[list[_Name], pydantic.Field(min_length=1)]
     slots: Annotated[int, pydantic.Field(ge=1)] = 8
     connections: Annotated[int, pydantic.Field(ge=1)] = 64
@@ -140,6 +195,18 @@
     teams: Annotated[list[Token], pydantic.Field(min_length=1)]
     operators: list[Token] = []
 
+    @pydantic.model_validator(mode="after")
+    def _check_tokens(self) -> Self:
+        names_by_hash: dict[str, str] = {}
+        for token in [*self.teams, *self.operators]:
+            known = names_by_hash.setdefault(token.sha256, token.name)
+            if known != token.name:
+                raise ValueError(
+                    f"found the same sha256 for {known} and {token.name}; "
+                    "a token of its own for each is allowed"
+                )
+        return self
+
 
 class Sidecar(_Process):
     """Settings of `sardinerouted sidecar`."""
@@ -166,17 +233,15 @@
     try:
         return model.model_validate(document)
     except pydantic.ValidationError as error:
-        raise SettingsError(_explain(path, error)) from error
+        told = [f"{path}: {line}" for line in explain.lines(model, error)]
+        raise SettingsError("\n".join(told)) from error
 
 
 def _read_document(path: pathlib.Path) -> dict[str, Any]:
     try:
-        document = yaml.safe_load(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        raise SettingsError(f"{path}: can't be read: {error}") from error
-    if not isinstance(document, dict):
-        raise SettingsError(f"{path}: found no mapping; a mapping is allowed")
-    return document
+        return yamlfile.read(path)
+    except yamlfile.UnusableFile as error:
+        raise SettingsError(f"{path}: {error}") from error
 
 
 def _model_for(
@@ -190,9 +255,11 @@
     return model
 
 
-def _explain(path: pathlib.Path, error: pydantic.ValidationError) -> str:
-    lines = []
-    for item in error.errors():
-        key = ".".join(str(part) for part in item["loc"])
-        lines.append(f"{path}: {key}: found {item['input']!r}; {item['msg']}")
-    return "\n".join(lines)
+def _check_readable(path: pathlib.Path) -> None:
+    try:
+        with path.open("rb"):
+            return
+    except OSError as error:
+        raise ValueError(
+            f"found {path}; a readable file is allowed: {error.strerror}"
+        ) from error
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,8 @@
 """Settings files: what is accepted, and how an error reads."""
 
 import pathlib
+import subprocess
+import sys
 
 import pytest
 
@@ -49,6 +51,75 @@
     assert "found" in message
 
 
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("drain_timeout_ms: soon", "drain_timeout_ms: found 'soon'; allowed:"),
+        ("log: {url: here}", "log: found twice, again in line 9"),
+        ("colour: red", "colour: found an unknown key; allowed: drain"),
+        ("logging: {color: 1}", "logging.color: found an unknown key"),
+        ("logging: {level: loud}", "logging.level: found 'loud'; allowed: 'de"),
+        ("traces: {exporter: file}", "traces: file: found nothing"),
+        ("operators: [{name: op}]", "operators.0.sha256: found nothing"),
+        ('operators: [{name: op, sha256: "%s"}]' % ("0" * 64), "same sha256"),
+        ("a: [", "is not YAML"),
+    ],
+)
+def test_error_says_what_was_found_and_what_is_allowed(
+    settings_file: pathlib.Path, text: str, told: str
+) -> None:
+    settings_file.write_text(ENTRY + text + "\n")
+    with pytest.raises(settings.SettingsError) as caught:
+        settings.load(settings_file)
+    assert f"{settings_file}: " in str(caught.value)
+    assert told in str(caught.value)
+
+
+def test_all_errors_are_told_at_once_and_no_secret(
+    settings_file: pathlib.Path,
+) -> None:
+    text = ENTRY.replace("0123456789abcdef", "hush") + "id2: 1\nid3: 2\n"
+    settings_file.write_text(text)
+    with pytest.raises(settings.SettingsError) as caught:
+        settings.load(settings_file)
+    assert len(str(caught.value).splitlines()) == 3
+    assert "streams.secret" in str(caught.value)
+    assert "hush" not in str(caught.value)
+
+
+def test_secret_may_stand_in_a_file(
+    settings_file: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    secret_file = tmp_path / "secret"
+    text = ENTRY.replace(
+        'secret: "0123456789abcdef"', f'secret_file: "{secret_file}"'
+    )
+    settings_file.write_text(text)
+    with pytest.raises(settings.SettingsError, match="a readable file"):
+        settings.load(settings_file)
+    secret_file.write_text("fedcba9876543210\n")
+    assert settings.load(settings_file).streams.secret == "fedcba9876543210"
+
+
+def test_unusable_settings_end_the_daemon_with_2(
+    settings_file: pathlib.Path,
+) -> None:
+    settings_file.write_text(ENTRY + "colour: red\n")
+    for arguments in (
+        ["entry", "--settings", str(settings_file)],
+        ["check-settings", str(settings_file)],
+    ):
+        ended = subprocess.run(
+            [sys.executable, "-m", "sardinerouted.main", *arguments],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert ended.returncode == 2
+        assert f"{settings_file}: colour:" in ended.stderr
+        assert ended.stdout == ""
+
+
 def test_unknown_role_is_refused(settings_file: pathlib.Path) -> None:
     settings_file.write_text("role: queen\n")
     with pytest.raises(settings.SettingsError, match="entry, sidecar"):
