--- a/packages/standins/src/sardineroute_standins/fleet.py
+++ b/packages/standins/src/sardineroute_standins/fleet.py
@@ -79,7 +79,11 @@
         self.proxied_entry_urls_by_name: dict[str, str] = {}
         self.backend_servers: list[BackendServer] = []
         self.secrets = layout.make_secrets()
-        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self._authority = str(options.tls.authority) if options.tls else None
+        self._entry_scheme = "https" if options.tls else "http"
+        self.http = urllib3.PoolManager(
+            retries=False, timeout=10.0, ca_certs=self._authority
+        )
         self._writer = layout.Writer(options, self.secrets, self.folder)
         self._ports = ports_module.Ports()
         self._spawner = processes.Spawner()
@@ -135,9 +139,12 @@
         member = self._member(f"entry-{index + 1}", index)
         file = self._writer.entry(member)
         self._launch_daemon("entry", member, file)
-        self.entry_urls_by_name[member.id] = layout.url(member.http_port)
+        scheme = self._entry_scheme
+        url = layout.url(member.http_port, scheme)
+        self.entry_urls_by_name[member.id] = url
         proxied_port = self.links.route(f"{member.id}:http", member.http_port)
-        self.proxied_entry_urls_by_name[member.id] = layout.url(proxied_port)
+        proxied_url = layout.url(proxied_port, scheme)
+        self.proxied_entry_urls_by_name[member.id] = proxied_url
         return member.id
 
     def add_backend_server(self) -> BackendServer:
@@ -283,15 +290,19 @@
         self, role: str, member: layout.Member, file: pathlib.Path
     ) -> None:
         arguments = [DAEMON, role, "--settings", str(file)]
-        self._launch(member.id, arguments, member.http_port)
+        scheme = self._entry_scheme if role == "entry" else "http"
+        self._launch(member.id, arguments, member.http_port, scheme)
 
-    def _launch(self, name: str, arguments: list[str], port: int) -> None:
+    def _launch(
+        self, name: str, arguments: list[str], port: int, scheme: str = "http"
+    ) -> None:
         process = processes.Process(
             self._spawner,
             name,
             arguments,
-            f"{layout.url(port)}/readyz",
+            f"{layout.url(port, scheme)}/readyz",
             self.folder / f"{name}.out",
+            self._authority,
         )
         self.processes_by_name[name] = process
         process.start()
@@ -319,13 +330,14 @@
     if not process.running:
         raise FleetError(f"ended: {processes.tails([process])}")
     try:
-        response = urllib3.request(
-            "GET",
-            process.ready_url,
-            headers={"Connection": "close"},
-            timeout=READY_CALL_TIMEOUT_S,
-            retries=False,
-        )
+        with urllib3.PoolManager(ca_certs=process.authority) as http:
+            response = http.request(
+                "GET",
+                process.ready_url,
+                headers={"Connection": "close"},
+                timeout=READY_CALL_TIMEOUT_S,
+                retries=False,
+            )
     except urllib3.exceptions.HTTPError:
         return False
     return response.status == 200
--- a/packages/standins/src/sardineroute_standins/layout.py
+++ b/packages/standins/src/sardineroute_standins/layout.py
@@ -39,6 +39,7 @@
         ownership: Partitions, leases and retention.
         drain_timeout_ms: Time for a graceful stop.
         log_level: Level of the daemon's own log lines.
+        tls: Certificate files of all processes, for HTTPS and TLS streams.
         traces: Whether each process writes its spans to a file.
     """
 
@@ -58,6 +59,7 @@
     drain_timeout_ms: int = 60_000
     log_level: str = "info"
     traces: bool = False
+    tls: settings.Tls | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,9 +100,9 @@
     )
 
 
-def url(port: int) -> str:
+def url(port: int, scheme: str = "http") -> str:
     """Returns the URL of a loopback port."""
-    return f"http://{ports_module.LOOPBACK}:{port}"
+    return f"{scheme}://{ports_module.LOOPBACK}:{port}"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -143,6 +145,7 @@
                 "http": settings.Http(
                     listen=address(member.http_port),
                     threads=self._options.http_threads,
+                    tls=self._options.tls,
                 ),
                 "teams": [_token(name, teams[name]) for name in teams],
                 "operators": [_token("operator", self._secrets.operator_token)],
@@ -184,6 +187,7 @@
                 advertise=address(member.advertised_port),
                 secret=self._secrets.stream_secret,
                 silence_ms=options.silence_ms,
+                tls=options.tls,
             ),
             "logging": {"level": options.log_level},
             "traces": self._traces(member),
--- a/packages/standins/src/sardineroute_standins/processes.py
+++ b/packages/standins/src/sardineroute_standins/processes.py
@@ -69,6 +69,7 @@
     Attributes:
         name: Its name in the fleet.
         ready_url: Answers 200 when the process is ready.
+        authority: File of certificates that verify it, for HTTPS.
         output: The file that takes what it prints.
     """
 
@@ -79,8 +80,10 @@
         module_arguments: list[str],
         ready_url: str,
         output: pathlib.Path,
+        authority: str | None = None,
     ) -> None:
         self.name = name
+        self.authority = authority
         self.ready_url = ready_url
         self.output = output
         self._spawner = spawner
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,173 @@
+"""TLS and the peers' authentication, with certificates made here."""
+
+import asyncio
+import pathlib
+import socket
+import ssl
+from collections.abc import Iterator
+
+import pytest
+import trustme
+import urllib3
+
+from sardineroute_core import clock
+from sardineroute_core import messages
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardineroute_standins import caller
+from sardineroute_standins import fleet as fleet_module
+from sardineroute_standins import layout
+
+TIMEOUT_S = 10.0
+LOOPBACK = "127.0.0.1"
+
+
+def _certificates(
+    authority: trustme.CA, folder: pathlib.Path, name: str
+) -> settings.Tls:
+    issued = authority.issue_cert(LOOPBACK)
+    certificate = folder / f"{name}.pem"
+    key = folder / f"{name}.key"
+    trusted = folder / f"{name}-authority.pem"
+    issued.private_key_pem.write_to_path(str(key))
+    for part in issued.cert_chain_pems:
+        part.write_to_path(str(certificate), append=True)
+    authority.cert_pem.write_to_path(str(trusted))
+    return settings.Tls(certificate=certificate, key=key, authority=trusted)
+
+
+@pytest.fixture(scope="module")
+def secured(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[fleet_module.Fleet]:
+    """A fleet whose HTTP and streams use TLS."""
+    folder = tmp_path_factory.mktemp("tls")
+    tls = _certificates(trustme.CA(), folder, "fleet")
+    options = layout.Options(entries=2, backend_servers=1, tls=tls)
+    made = fleet_module.Fleet(options, folder)
+    try:
+        made.start()
+        yield made
+    finally:
+        made.stop(graceful=False)
+
+
+def test_jobs_run_over_tls_through_any_entry(
+    secured: fleet_module.Fleet,
+) -> None:
+    token = secured.secrets.team_tokens_by_name["anrc"]
+    for number in range(4):
+        job = caller.Job(f"tls-{number}", "receipt.issue", [{"n": number}])
+        for url in secured.entry_urls_by_name.values():
+            assert url.startswith("https://")
+            outcome = caller.submit(secured.http, url, token, job)
+            assert outcome.status == 200
+    assert set(secured.executions().values()) == {1}
+
+
+def test_silent_and_plain_callers_dont_hold_up_others(
+    secured: fleet_module.Fleet,
+) -> None:
+    url = secured.entry_urls_by_name["entry-1"]
+    parsed = urllib3.util.parse_url(url)
+    assert parsed.port is not None
+    address = (LOOPBACK, parsed.port)
+    silent = [socket.create_connection(address) for _ in range(40)]
+    plain = socket.create_connection(address, TIMEOUT_S)
+    plain.sendall(b"GET /livez HTTP/1.1\r\n\r\n")
+    answered = secured.http.request("GET", f"{url}/livez", timeout=TIMEOUT_S)
+    assert answered.status == 200
+    assert b"200 OK" not in plain.recv(1_024)
+    for connection in [*silent, plain]:
+        connection.close()
+
+
+def _stream_options(
+    fleet: fleet_module.Fleet, secret: str, tls: settings.Tls | None
+) -> tuple[settings.Address, settings.Streams]:
+    loaded = settings.load(fleet.folder / "sidecar-1.yaml")
+    listen = loaded.streams.listen
+    unused = settings.Address.model_validate({"host": LOOPBACK, "port": 0})
+    return listen, settings.Streams(listen=unused, secret=secret, tls=tls)
+
+
+@pytest.mark.parametrize(
+    "case", ["right", "no certificate", "foreign certificate", "wrong secret"]
+)
+def test_stranger_cant_start_a_task(
+    secured: fleet_module.Fleet, tmp_path: pathlib.Path, case: str
+) -> None:
+    secret = secured.secrets.stream_secret
+    tls = secured.options.tls
+    assert tls is not None
+    if case == "no certificate":
+        tls = None
+    elif case == "foreign certificate":
+        foreign = _certificates(trustme.CA(), tmp_path, "foreign")
+        # The stranger trusts the fleet, which must not trust the stranger.
+        tls = foreign.model_copy(update={"authority": tls.authority})
+    elif case == "wrong secret":
+        secret = "f" * 64
+    address, options = _stream_options(secured, secret, tls)
+    identity = streams.Identity("stranger", messages.Role.ENTRY, "1")
+
+    async def start_task() -> messages.Result:
+        connection = await streams.connect(
+            address, options, identity, clock.Clock()
+        )
+        start = messages.Start(
+            task_id=f"stranger/{case}",
+            attempt=1,
+            partition=0,
+            epoch=2**40,
+            valid_until_ms=2**60,
+            digest=b"",
+            kind="receipt.issue",
+            payload=b"{}",
+            timeout_ms=1_000,
+            traceparent="",
+        )
+        connection.send(start)
+        async for message in connection.receive():
+            if isinstance(message, messages.Result):
+                connection.close()
+                return message
+        raise AssertionError
+
+    if case == "right":
+        # Shows that the message itself would have started a task.
+        result = asyncio.run(start_task())
+        assert result.outcome == messages.TaskOutcome.ANSWERED
+        return
+    with pytest.raises(streams.ConnectionLost):
+        asyncio.run(start_task())
+    assert f"stranger/{case}" not in secured.executions()
+
+
+def test_certificate_and_key_that_dont_fit_are_refused(
+    tmp_path: pathlib.Path,
+) -> None:
+    authority = trustme.CA()
+    one = _certificates(authority, tmp_path, "one")
+    other = _certificates(authority, tmp_path, "other")
+    for change, told in (
+        ({"key": other.key}, "its key in PEM form"),
+        ({"key": tmp_path / "none"}, "a readable file"),
+        ({"authority": one.key}, "authority: found"),
+    ):
+        document = {**one.model_dump(), **change}
+        with pytest.raises(ValueError, match=told):
+            settings.Tls.model_validate(document)
+
+
+def test_foreign_server_is_not_trusted(
+    secured: fleet_module.Fleet, tmp_path: pathlib.Path
+) -> None:
+    foreign = _certificates(trustme.CA(), tmp_path, "foreign")
+    url = secured.entry_urls_by_name["entry-1"]
+    with (
+        urllib3.PoolManager(ca_certs=str(foreign.authority)) as http,
+        pytest.raises(urllib3.exceptions.SSLError) as caught,
+    ):
+        http.request("GET", f"{url}/livez", retries=False)
+    assert isinstance(caught.value.args[0], ssl.SSLCertVerificationError)
