Add the measurement tool: arrivals, oracle, drivers, table

make bench starts 3 entries and 11 backend servers, submits seeded open-loop arrivals from driver processes and sets response times beside an oracle's replay, counts messages from /metrics and double starts from /executions.

--- /dev/null
+++ b/packages/standins/src/sardineroute_standins/arrivals.py
@@ -0,0 +1,167 @@
+"""Generates the jobs of a load run from a seed."""
+
+import dataclasses
+import math
+import random
+from collections.abc import Iterator
+
+from sardineroute_standins import layout
+
+LONG_SHARE = 0.03
+LONG_MIN_MS = 2_000.0
+LONG_MAX_MS = 5_000.0
+MAX_TASKS = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class KindProfile:
+    """What the tasks of a kind take.
+
+    Attributes:
+        team: The team that submits the kind.
+        kind: The kind's name.
+        min_ms: Shortest usual run time at speed 1.
+        max_ms: Longest usual run time at speed 1.
+    """
+
+    team: str
+    kind: str
+    min_ms: float
+    max_ms: float
+
+
+PROFILES = (
+    KindProfile("anrc", "receipt.issue", 100.0, 600.0),
+    KindProfile("anrc", "receipt.verify", 50.0, 200.0),
+    KindProfile("anrc", "receipt.void", 200.0, 1_000.0),
+    KindProfile("zidani", "order.book", 200.0, 1_000.0),
+    KindProfile("zidani", "order.price", 50.0, 400.0),
+)
+PROFILES_BY_KIND = {profile.kind: profile for profile in PROFILES}
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A job and when it is submitted.
+
+    Attributes:
+        key: Idempotency key.
+        at_ms: Time of the submission since the start of the run.
+        team: The team that submits it.
+        kind: Kind of its tasks.
+        run_ms: Run time of each task at speed 1.
+        entry: Index of the entry that it is submitted to.
+        flood: Whether it belongs to a flood.
+    """
+
+    key: str
+    at_ms: float
+    team: str
+    kind: str
+    run_ms: tuple[float, ...]
+    entry: int
+    flood: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What to generate.
+
+    Attributes:
+        seed: The same seed gives the same jobs, whatever the prefix.
+        seconds: Length of the run.
+        work_per_s: Seconds of work at speed 1 that arrive in a second.
+        kinds: Names of the kinds, each with an equal share of the work.
+        entries: Number of entries.
+        prefix: Start of each idempotency key.
+        long_only: Whether all tasks take several seconds.
+        flood: Whether the jobs belong to a flood.
+    """
+
+    seed: str
+    seconds: float
+    work_per_s: float
+    kinds: tuple[str, ...] = layout.ALL_KINDS
+    entries: int = 3
+    prefix: str = "job"
+    long_only: bool = False
+    flood: bool = False
+
+
+def generate(options: Options) -> list[Arrival]:
+    """Returns the jobs of a run in the order of their arrival.
+
+    Each kind is a Poisson process of its own. Sizes run from 1 to 100 tasks,
+    most of them small; most tasks take 50 ms to 1 s, a few several seconds.
+    """
+    share_per_s = options.work_per_s / len(options.kinds)
+    merged: list[Arrival] = []
+    for kind in options.kinds:
+        merged += _generate_kind(options, kind, share_per_s)
+    return sorted(merged, key=lambda arrival: arrival.at_ms)
+
+
+def mean_task_ms(profile: KindProfile, long_only: bool) -> float:
+    """Returns the expected run time of a kind's tasks at speed 1."""
+    long_ms = (LONG_MIN_MS + LONG_MAX_MS) / 2
+    if long_only:
+        return long_ms
+    spread = math.log(profile.max_ms / profile.min_ms)
+    usual_ms = (profile.max_ms - profile.min_ms) / spread
+    return LONG_SHARE * long_ms + (1 - LONG_SHARE) * usual_ms
+
+
+def mean_size() -> float:
+    """Returns the expected number of tasks in a job."""
+    return sum(share * (low + high) / 2 for share, low, high in _SIZE_CLASSES)
+
+
+# Share of jobs, smallest size, largest size.
+_SIZE_CLASSES = (
+    (0.40, 1, 1),
+    (0.35, 2, 5),
+    (0.18, 6, 20),
+    (0.07, 21, MAX_TASKS),
+)
+
+
+def _generate_kind(
+    options: Options, kind: str, work_per_s: float
+) -> Iterator[Arrival]:
+    profile = PROFILES_BY_KIND[kind]
+    rng = random.Random(f"{options.seed}/{options.flood}/{kind}")
+    job_ms = mean_size() * mean_task_ms(profile, options.long_only)
+    jobs_per_ms = work_per_s / job_ms
+    at_ms = rng.expovariate(jobs_per_ms)
+    number = 0
+    while at_ms < options.seconds * 1_000:
+        yield Arrival(
+            key=f"{options.prefix}-{kind}-{number}",
+            at_ms=at_ms,
+            team=profile.team,
+            kind=kind,
+            run_ms=_run_times(rng, profile, options.long_only),
+            entry=rng.randrange(options.entries),
+            flood=options.flood,
+        )
+        number += 1
+        at_ms += rng.expovariate(jobs_per_ms)
+
+
+def _run_times(
+    rng: random.Random, profile: KindProfile, long_only: bool
+) -> tuple[float, ...]:
+    shares = [share for share, _, _ in _SIZE_CLASSES]
+    _, low, high = rng.choices(_SIZE_CLASSES, shares)[0]
+    size = rng.randint(low, high)
+    return tuple(_run_time(rng, profile, long_only) for _ in range(size))
+
+
+def _run_time(
+    rng: random.Random, profile: KindProfile, long_only: bool
+) -> float:
+    if long_only or rng.random() < LONG_SHARE:
+        return round(rng.uniform(LONG_MIN_MS, LONG_MAX_MS), 1)
+    exponent = rng.random()
+    ratio = profile.max_ms / profile.min_ms
+    return round(profile.min_ms * math.pow(ratio, exponent), 1)
--- a/packages/standins/src/sardineroute_standins/main.py
+++ b/packages/standins/src/sardineroute_standins/main.py
@@ -6,8 +6,11 @@
 import typer
 
 from sardineroute_standins import backend as backend_module
+from sardineroute_standins import bench as bench_module
+from sardineroute_standins import benchmain
 from sardineroute_standins import control
 from sardineroute_standins import demo as demo_module
+from sardineroute_standins import driver
 from sardineroute_standins import fleet as fleet_module
 from sardineroute_standins import layout
 from sardineroute_standins import platform
@@ -72,6 +75,66 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def drive(plan: pathlib.Path, results: pathlib.Path) -> None:
+    """Runs one driver process of a measurement."""
+    driver.run(plan, results)
+
+
+@app.command()
+def bench(
+    seed: int = 1,
+    seconds: float = 15.0,
+    rounds: int = 1,
+    load: str = "0.7,0.9",
+    policies: str = "",
+    flood: str = "none",
+    fault: str = "none",
+    table: bool = False,
+    out: pathlib.Path = pathlib.Path("out"),
+    keep: pathlib.Path | None = None,
+) -> None:
+    """Measures a fleet of 3 entries and 11 backend servers.
+
+    LOAD is a list of shares of the fleet's capacity, POLICIES one of dispatch
+    policies; FLOOD and FAULT name what to measure in place of plain loads, or
+    "all". With --table all of it runs and every bound is printed.
+    """
+    _exit_on_signals()
+    floods = _chosen(flood, bench_module.FLOODS)
+    faults = _chosen(fault, bench_module.FAULTS)
+    plain = not floods and not faults
+    met = benchmain.run(
+        benchmain.Request(
+            options=bench_module.Options(
+                seed=seed,
+                seconds=seconds,
+                rounds=rounds,
+                loads=tuple(float(share) for share in load.split(",")),
+                policies=tuple(name for name in policies.split(",") if name),
+            ),
+            floods=bench_module.FLOODS if table else floods,
+            faults=bench_module.FAULTS if table else faults,
+            with_loads=table or plain,
+            with_idle=table or plain,
+            out=out,
+            keep=keep,
+        )
+    )
+    if not met:
+        raise typer.Exit(1)
+
+
+def _chosen(text: str, known: tuple[str, ...]) -> tuple[str, ...]:
+    if text == "none":
+        return ()
+    names = known if text == "all" else tuple(text.split(","))
+    for name in names:
+        if name not in known:
+            raise typer.BadParameter(f"{name}: allowed: {', '.join(known)}")
+    return names
+
+
 def _exit_on_signals() -> None:
     signal.signal(signal.SIGINT, _exit)
     signal.signal(signal.SIGTERM, _exit)
--- a/packages/standins/src/sardineroute_standins/processes.py
+++ b/packages/standins/src/sardineroute_standins/processes.py
@@ -18,6 +18,11 @@
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def python(module_arguments: list[str]) -> list[str]:
+    """Returns the command that runs a module with this interpreter."""
+    return [sys.executable, "-m", *module_arguments]
+
+
 class Spawner:
     """Starts processes that the kernel kills when this one ends.
 
@@ -82,7 +87,7 @@
         self.ready_url = ready_url
         self.output = output
         self._spawner = spawner
-        self._arguments = [sys.executable, "-m", *module_arguments]
+        self._arguments = python(module_arguments)
         self._child: subprocess.Popen[bytes] | None = None
 
     @property
--- /dev/null
+++ b/packages/standins/src/sardineroute_standins/table.py
@@ -0,0 +1,227 @@
+"""Sets what was measured beside the bounds of the design."""
+
+import dataclasses
+import json
+import pathlib
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import matplotlib as mpl
+
+from sardineroute_standins import bench
+from sardineroute_standins import experiment
+from sardineroute_standins import layout
+from sardineroute_standins import report
+
+RATIO_BOUNDS_BY_LOAD = {0.7: 1.10, 0.9: 1.25}
+WASTED_BOUND = 0.03
+FLOOD_THROUGHPUT_BOUND = 0.95
+FLOOD_P99_BOUND = 1.5
+REFUSAL_BOUND_MS = 50.0
+FAULT_P99_BOUND = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One bound and what was reached.
+
+    Attributes:
+        name: What was measured.
+        run: The run, with its policy.
+        bound: The bound; None for a figure that has none.
+        reached: The figure reached.
+        is_least: Whether the bound is the least allowed; else the most.
+        is_baseline: Whether the figure is only there to compare with.
+    """
+
+    name: str
+    run: str
+    bound: float | None
+    reached: float
+    is_least: bool = False
+    is_baseline: bool = False
+
+    @property
+    def verdict(self) -> str:
+        """Returns whether the bound was met."""
+        if self.bound is None or self.is_baseline:
+            return "baseline" if self.is_baseline else ""
+        if self.is_least:
+            return "met" if self.reached >= self.bound else "MISSED"
+        return "met" if self.reached <= self.bound else "MISSED"
+
+
+def load_rows(
+    runs_by_name: Mapping[str, Sequence[experiment.Measured]],
+    options: layout.Options,
+) -> list[Row]:
+    """Returns the rows of the runs at a share of the fleet's capacity."""
+    rows: list[Row] = []
+    first = next(iter(runs_by_name.values()), [])
+    for name, runs in runs_by_name.items():
+        share = float(name.split()[1].rstrip(","))
+        bound = RATIO_BOUNDS_BY_LOAD.get(round(share, 2))
+        baseline = runs[0].policy != first[0].policy
+        seen = experiment.summary(runs, options)
+        moved = experiment.traffic(runs)
+        over = seen.over_ideal
+        rows += [
+            Row("mean / oracle's", name, bound, over.mean, False, baseline),
+            Row("p50 / oracle's", name, None, over.p50, False, baseline),
+            Row("p99 / oracle's", name, bound, over.p99, False, baseline),
+            Row(
+                "mean / run time on the fastest",
+                name,
+                None,
+                seen.over_fastest,
+                False,
+                baseline,
+            ),
+            Row(
+                "wasted messages / all",
+                name,
+                WASTED_BOUND,
+                moved.wasted_share,
+                False,
+                baseline,
+            ),
+            *_whole(name, runs, seen),
+        ]
+    return rows
+
+
+def flood_rows(
+    compared: bench.Comparison, options: layout.Options
+) -> list[Row]:
+    """Returns the rows of a flood."""
+    name = compared.name
+    quiet = experiment.summary(compared.without, options)
+    seen = experiment.summary(compared.during, options)
+    flood = experiment.flood_summary(compared.during, options)
+    kept = _ratio(
+        sum(map(experiment.tasks_in_time, compared.during)),
+        sum(map(experiment.tasks_in_time, compared.without)),
+    )
+    p99 = report.ratios(seen.run, quiet.run).p99
+    return [
+        Row(
+            "other work: throughput kept",
+            name,
+            FLOOD_THROUGHPUT_BOUND,
+            kept,
+            is_least=True,
+        ),
+        Row("other work: p99 / without", name, FLOOD_P99_BOUND, p99),
+        Row("refusal p99, ms", name, REFUSAL_BOUND_MS, flood.refusal.p99_ms),
+        Row("refusal max, ms", name, REFUSAL_BOUND_MS, flood.refusal.max_ms),
+        Row("refusals", name, None, flood.refusal.count),
+        *_whole(name, compared.during, seen),
+    ]
+
+
+def fault_rows(
+    compared: bench.Comparison, options: layout.Options
+) -> list[Row]:
+    """Returns the rows of a fault in mid-run."""
+    name = compared.name
+    quiet = experiment.summary(compared.without, options)
+    seen = experiment.summary(compared.during, options)
+    p99 = report.ratios(seen.run, quiet.run).p99
+    return [
+        Row("other jobs: p99 / without", name, FAULT_P99_BOUND, p99),
+        Row("jobs not complete", name, None, seen.submitted - seen.complete),
+        *_whole(name, compared.during, seen),
+    ]
+
+
+def idle_row(sent_by_type: Mapping[str, int]) -> Row:
+    """Returns the row of an idle fleet."""
+    listed = ", ".join(f"{kind} {sent}" for kind, sent in sent_by_type.items())
+    run = f"idle ({listed})" if listed else "idle"
+    return Row("messages on an idle fleet", run, 0, sum(sent_by_type.values()))
+
+
+def render(rows: Sequence[Row]) -> str:
+    """Returns the table as text."""
+    lines = [f"{'measure':32} {'run':34} {'bound':>8} {'reached':>9}  verdict"]
+    for row in rows:
+        sign = ">=" if row.is_least else "<="
+        bound = "" if row.bound is None else f"{sign}{row.bound:g}"
+        lines.append(
+            f"{row.name:32} {row.run:34} {bound:>8} {row.reached:9.3f}  "
+            f"{row.verdict}".rstrip()
+        )
+    return "\n".join(lines)
+
+
+def write(
+    folder: pathlib.Path,
+    rows: Sequence[Row],
+    summaries_by_name: Mapping[str, report.Summary],
+) -> None:
+    """Writes the rows and summaries as JSON, and a plot of the ratios."""
+    folder.mkdir(parents=True, exist_ok=True)
+    document = {
+        "rows": [
+            {**dataclasses.asdict(row), "verdict": row.verdict} for row in rows
+        ],
+        "summaries": {
+            name: dataclasses.asdict(summary)
+            for name, summary in summaries_by_name.items()
+        },
+    }
+    text = json.dumps(document, indent=1)
+    (folder / "bench.json").write_text(text)
+    _plot(folder / "bench.png", rows)
+
+
+def _whole(
+    name: str, runs: Sequence[experiment.Measured], seen: report.Summary
+) -> list[Row]:
+    doubles = sum(one.double_starts for one in runs)
+    return [
+        Row("tasks started twice", name, 0, doubles),
+        Row("crossed answers", name, 0, seen.crossed),
+    ]
+
+
+def _ratio(over: float, under: float) -> float:
+    return over / under if under else 0.0
+
+
+def _plot(file: pathlib.Path, rows: Sequence[Row]) -> None:
+    mpl.use("Agg")
+    from matplotlib import pyplot  # noqa: PLC0415 - after the backend is set
+
+    names = ("mean / oracle's", "p99 / oracle's")
+    runs = list(dict.fromkeys(row.run for row in rows if row.name in names))
+    if not runs:
+        return
+    figure, axes = pyplot.subplots(figsize=(9, 1 + 0.5 * len(runs)))
+    for index, name in enumerate(names):
+        places = [place + 0.4 * index for place in range(len(runs))]
+        reached = [_reached(rows, name, run) for run in runs]
+        axes.barh(places, reached, height=0.35, label=name)
+    for place, run in enumerate(runs):
+        bound = _bound(rows, run)
+        if bound is not None:
+            axes.plot([bound, bound], [place - 0.2, place + 0.6], "k--")
+    axes.set_yticks([place + 0.2 for place in range(len(runs))], runs)
+    axes.set_xlabel("response time over the oracle's; dashes: the bound")
+    axes.axvline(1.0, color="grey", linewidth=0.5)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(file)
+    pyplot.close(figure)
+
+
+def _reached(rows: Sequence[Row], name: str, run: str) -> float:
+    found = [row for row in rows if row.name == name and row.run == run]
+    return found[0].reached if found else 0.0
+
+
+def _bound(rows: Sequence[Row], run: str) -> float | None:
+    found = [
+        row for row in rows if row.run == run and row.name.startswith("mean /")
+    ]
+    return found[0].bound if found else None
