--- /dev/null
+++ b/lab/fakesidecars.py
@@ -0,0 +1,148 @@
+"""Plays many sidecars in one light process, for measuring entries.
+
+Each fake sidecar announces itself, accepts streams and answers tasks after
+their run time, with no backend server behind it.
+"""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import sys
+
+from sardineroute_core import clock
+from sardineroute_core import ids
+from sardineroute_core import messages
+from sardineroute_core import platformlog
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardinerouted import membership
+
+FAILURE_DOMAINS = 6
+REGIONS = 2
+ANNOUNCING_AT_A_TIME = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What to play; the file given as argument holds it as JSON.
+
+    Attributes:
+        count: Number of sidecars.
+        first: Number of the first.
+        slots: Slots of each.
+        log_url: The platform log.
+        secret: Shared by entries and sidecars.
+        kinds: Kinds that each offers.
+    """
+
+    count: int
+    first: int
+    slots: int
+    log_url: str
+    secret: str
+    kinds: list[str]
+
+
+class FakeSidecar:
+    """Answers the messages of entries as a sidecar with free slots does."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._busy = 0
+
+    async def handle(self, connection: streams.Connection) -> None:
+        """Serves one entry until its stream is closed."""
+        async for message in connection.receive():
+            if isinstance(message, messages.Start):
+                self._start(connection, message)
+            elif isinstance(message, messages.Ping):
+                tick_ms = self._clock.now_ms()
+                connection.send(messages.Pong(message.id, tick_ms))
+
+    def _start(
+        self, connection: streams.Connection, start: messages.Start
+    ) -> None:
+        self._busy += 1
+        run_ms = float(json.loads(start.payload).get("run_ms", 0.0))
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            run_ms / 1_000, self._end, connection, start.task_id, run_ms
+        )
+
+    def _end(
+        self, connection: streams.Connection, task_id: str, run_ms: float
+    ) -> None:
+        self._busy -= 1
+        connection.send(
+            messages.Result(
+                task_id=task_id,
+                outcome=int(messages.TaskOutcome.ANSWERED),
+                body=b'"done"',
+                detail="",
+                run_ms=round(run_ms),
+                busy=self._busy,
+                queued=0,
+                tick_ms=self._clock.now_ms(),
+            )
+        )
+
+
+async def _play(options: Options) -> None:
+    time = clock.Clock()
+    log = platformlog.PlatformLog(
+        settings.Log(url=options.log_url, timeout_ms=10_000)
+    )
+    limit = asyncio.Semaphore(ANNOUNCING_AT_A_TIME)
+    servers = await asyncio.gather(
+        *(
+            _open(options, number, time, log, limit)
+            for number in range(options.first, options.first + options.count)
+        )
+    )
+    print("ready", flush=True)
+    await asyncio.gather(*(server.serve_forever() for server in servers))
+
+
+async def _open(
+    options: Options,
+    number: int,
+    time: clock.Clock,
+    log: platformlog.PlatformLog,
+    limit: asyncio.Semaphore,
+) -> asyncio.Server:
+    name = f"fake-{number}"
+    incarnation = ids.new_id()
+    address = settings.Address.model_validate({"host": "127.0.0.1", "port": 0})
+    server = await streams.serve(
+        settings.Streams(listen=address, secret=options.secret),
+        streams.Identity(name, messages.Role.SIDECAR, incarnation),
+        time,
+        FakeSidecar(time).handle,
+    )
+    port = server.sockets[0].getsockname()[1]
+    announcement = membership.Announcement(
+        id=name,
+        role=messages.Role.SIDECAR,
+        incarnation=incarnation,
+        host="127.0.0.1",
+        port=port,
+        failure_domain=f"domain-{number % FAILURE_DOMAINS + 1}",
+        region=f"region-{number % REGIONS + 1}",
+        kinds=tuple(options.kinds),
+        slots=options.slots,
+        queue=4,
+    )
+    async with limit:
+        await membership.publish(log, announcement)
+    return server
+
+
+def main() -> None:
+    """Plays the sidecars that the file named by the argument asks for."""
+    document = json.loads(pathlib.Path(sys.argv[1]).read_text())
+    asyncio.run(_play(Options(**document)))
+
+
+if __name__ == "__main__":
+    main()
