--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -8,194 +8,27 @@
 import asyncio
 import dataclasses
 import json
-import pathlib
 import time
 import tracemalloc
 from collections.abc import Callable
 
-import psutil
+import usage
 
 from sardineroute_core import clock
 from sardineroute_core import messages
 from sardineroute_standins import arrivals
-from sardineroute_standins import counters
+from sardineroute_standins import configure
 from sardineroute_standins import fleet as fleet_module
 from sardineroute_standins import layout
-from sardineroute_standins import load
-from sardineroute_standins import processes
 from sardinerouted.entry import jobs
 from sardinerouted.sidecar import guard
 
-IDLE_S = 10.0
 LOAD_S = 8.0
 KEPT_TASKS = 100_000
 KEPT_JOBS = 5_000
 TASKS_A_JOB = 8
-FAKES = str(pathlib.Path(__file__).parent / "fakesidecars.py")
-
-
-@dataclasses.dataclass(frozen=True)
-class Point:
-    """Processor time, memory and traffic of one role at one size."""
-
-    part: str
-    size: int
-    role: str
-    cores: float
-    memory_mb: float
-    stream_kb_per_s: float
-    log_kb_per_s: float
-    messages_per_s: float
-    note: str = ""
-
-
-def say(point: Point) -> None:
-    """Prints one point."""
-    rounded = {
-        name: round(value, 5) if isinstance(value, float) else value
-        for name, value in dataclasses.asdict(point).items()
-    }
-    print(json.dumps(rounded), flush=True)
-
-
-@dataclasses.dataclass(frozen=True)
-class Reading:
-    """Counters at one time; `log_bytes_by_name` is traffic with the log."""
-
-    at_s: float
-    snapshot: counters.Snapshot
-    log_bytes_by_name: dict[str, int]
-
-
-class Bench:
-    """A fleet with fake sidecars, and what its processes use."""
-
-    def __init__(self, options: layout.Options) -> None:
-        self.fleet = fleet_module.Fleet(options)
-        self._spawner = processes.Spawner()
-
-    def __enter__(self) -> "Bench":
-        """Starts the fleet."""
-        self.fleet.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        """Stops all."""
-        self._spawner.close()
-        self.fleet.stop(graceful=False)
-
-    def play(self, count: int, first: int, slots: int = 8) -> None:
-        """Adds fake sidecars and waits until they are announced."""
-        file = self.fleet.folder / f"fakes-{first}.json"
-        document = {
-            "count": count,
-            "first": first,
-            "slots": slots,
-            "log_url": self.fleet.log_url,
-            "secret": self.fleet.secrets.stream_secret,
-            "kinds": list(layout.ALL_KINDS),
-        }
-        file.write_text(json.dumps(document))
-        output = self.fleet.folder / f"fakes-{first}.out"
-        command = processes.python([])[:1] + [FAKES, str(file)]
-        self._spawner.spawn(command, output)
-        while "ready" not in output.read_text():
-            if "Error" in output.read_text():
-                raise RuntimeError(output.read_text()[-2_000:])
-            time.sleep(0.05)
-
-    def idle(self, part: str, size: int) -> None:
-        """Prints what the roles use while no job runs."""
-        self.wait_calm()
-        before = self._read()
-        time.sleep(IDLE_S)
-        _print(part, size, before, self._read())
-
-    def run(
-        self, part: str, size: int, planned: list[arrivals.Arrival], note: str
-    ) -> None:
-        """Prints what the roles use while jobs run."""
-        before = self._read()
-        done = load.run(self.fleet, planned)
-        after = self._read()
-        took_s = after.at_s - before.at_s
-        samples = done.samples_by_key.values()
-        good = [sample for sample in samples if sample.status == 200]
-        tasks = sum(
-            len(job.run_ms)
-            for job in planned
-            if done.samples_by_key[job.key].status == 200
-        )
-        times = sorted(sample.response_ms for sample in good) or [0.0]
-        text = (
-            f"{note}; jobs {len(planned)}, complete {len(good)}, tasks {tasks},"
-            f" took_s {took_s - load.HEAD_START_S:.2f}, p50_ms "
-            f"{times[len(times) // 2]:.0f}, p99_ms "
-            f"{times[int(len(times) * 0.99)]:.0f}"
-        )
-        _print(part, size, before, after, text)
-
-    def wait_calm(self) -> None:
-        """Waits until the entries' memory has stopped to grow."""
-        last = 0
-        while True:
-            time.sleep(1.5)
-            now = sum(
-                psutil.Process(self.fleet.processes_by_name[name].pid)
-                .memory_info()
-                .rss
-                for name in self.fleet.entry_urls_by_name
-            )
-            if abs(now - last) < 500_000:
-                return
-            last = now
-
-    def _read(self) -> Reading:
-        sizes: dict[str, int] = {}
-        if self.fleet.options.proxied:
-            for name, counts in self.fleet.links.counts().items():
-                if name.endswith(":log"):
-                    sizes[name.split(":")[0]] = (
-                        counts["bytes_to_target"] + counts["bytes_to_client"]
-                    )
-        return Reading(time.monotonic(), counters.read(self.fleet), sizes)
-
-
-def _print(
-    part: str, size: int, before: Reading, after: Reading, note: str = ""
-) -> None:
-    seconds = after.at_s - before.at_s
-    cores_by_name = counters.cores(before.snapshot, after.snapshot, seconds)
-    for role in ("entry", "sidecar"):
-        names = [name for name in cores_by_name if name.startswith(role)]
-        if not names:
-            continue
-        olds = [before.snapshot.processes_by_name[name] for name in names]
-        news = [after.snapshot.processes_by_name[name] for name in names]
-        pairs = list(zip(olds, news, strict=True))
-        sent = [
-            sum(new.sent_by_type.values()) - sum(old.sent_by_type.values())
-            for old, new in pairs
-        ]
-        sent_bytes = [new.bytes_sent - old.bytes_sent for old, new in pairs]
-        log_bytes = [
-            after.log_bytes_by_name.get(name, 0)
-            - before.log_bytes_by_name.get(name, 0)
-            for name in names
-        ]
-        say(
-            Point(
-                part=part,
-                size=size,
-                role=role,
-                cores=counters.mean(cores_by_name[name] for name in names),
-                memory_mb=counters.mean(new.memory_bytes / 1e6 for new in news),
-                stream_kb_per_s=counters.mean(sent_bytes) / 1e3 / seconds,
-                log_kb_per_s=counters.mean(log_bytes) / 1e3 / seconds,
-                messages_per_s=counters.mean(sent) / seconds,
-                note=note,
-            )
-        )
+TEAMS = 250
+CHANGES = 20
 
 
 def _layout(**fields: object) -> layout.Options:
@@ -205,7 +38,7 @@
 
 def measure_sidecars() -> None:
     """An idle entry against the number of sidecars it is connected to."""
-    with Bench(_layout(entries=1, backend_servers=1)) as bench:
+    with usage.Bench(_layout(entries=1, backend_servers=1)) as bench:
         bench.idle("sidecars", 0)
         first = 0
         for count in (100, 300, 700, 1_400):
@@ -217,7 +50,7 @@
 def measure_entries() -> None:
     """Idle entries and sidecars against the number of entries."""
     for count in (1, 3, 8, 16):
-        with Bench(_layout(entries=count, backend_servers=2)) as bench:
+        with usage.Bench(_layout(entries=count, backend_servers=2)) as bench:
             bench.idle("entries", count)
 
 
@@ -241,7 +74,7 @@
 def measure_tasks() -> None:
     """One entry against tasks a second, over 100 fake sidecars."""
     for tasks in (1, TASKS_A_JOB, 100):
-        with Bench(_layout(entries=1, backend_servers=0)) as bench:
+        with usage.Bench(_layout(entries=1, backend_servers=0)) as bench:
             bench.play(100, 0)
             bench.wait_calm()
             for rate in (100, 300, 1_000, 2_000, 4_000):
@@ -253,7 +86,7 @@
 
 def measure_forwarding() -> None:
     """Three entries against tasks a second: two of three jobs move on."""
-    with Bench(_layout(entries=3, backend_servers=0)) as bench:
+    with usage.Bench(_layout(entries=3, backend_servers=0)) as bench:
         bench.play(100, 0)
         bench.wait_calm()
         for rate in (300, 1_000, 3_000):
@@ -263,7 +96,7 @@
 
 def measure_spread() -> None:
     """One entry at a fixed rate against the number of sidecars."""
-    with Bench(_layout(entries=1, backend_servers=0)) as bench:
+    with usage.Bench(_layout(entries=1, backend_servers=0)) as bench:
         first = 0
         for count in (50, 200, 700, 1_400):
             bench.play(count - first, first)
@@ -280,12 +113,56 @@
 def measure_sidecar_tasks() -> None:
     """One real sidecar against tasks a second."""
     options = _layout(entries=1, backend_servers=1)
-    with Bench(options) as bench:
+    with usage.Bench(options) as bench:
         for rate in (20, 60, 120, 240):
             planned = _planned(rate, 4, 10.0, 1, LOAD_S)
             bench.run("sidecar tasks", rate, planned, "4 a job")
 
 
+def measure_teams() -> None:
+    """One entry at a fixed rate against the number of teams."""
+    for count in (2, 50, 250):
+        with usage.Bench(_layout(entries=1, backend_servers=0), count) as bench:
+            bench.play(50, 0)
+            bench.wait_calm()
+            names = list(bench.fleet.secrets.team_tokens_by_name)
+            planned = [
+                dataclasses.replace(job, team=names[number % len(names)])
+                for number, job in enumerate(
+                    _planned(800, TASKS_A_JOB, 50.0, 1, LOAD_S)
+                )
+            ]
+            bench.run("teams", count, planned, "800 tasks/s, 8 a job")
+
+
+def measure_configuration() -> None:
+    """Entries and sidecars while a document of 250 teams changes."""
+    options = _layout(entries=3, backend_servers=3)
+    with usage.Bench(options, TEAMS) as bench:
+        bench.idle("configuration", 0)
+        _publish(bench.fleet, 0)
+        before = bench.read()
+        began_s = time.monotonic()
+        for number in range(1, CHANGES + 1):
+            _publish(bench.fleet, number)
+        took_s = time.monotonic() - began_s
+        time.sleep(configure.IN_FORCE_S)
+        note = f"{CHANGES} changes of 250 teams, published in {took_s:.1f} s"
+        usage.show("configuration", CHANGES, before, bench.read(), 0, note)
+
+
+def _publish(fleet: fleet_module.Fleet, number: int) -> None:
+    sections = {
+        f"team-{index}": {
+            "schema_version": 2,
+            "weight": 1.0 + (number + index) % 7,
+            "kinds": {kind: {} for kind in layout.ALL_KINDS},
+        }
+        for index in range(TEAMS)
+    }
+    configure.publish(fleet, {"teams": sections}, wait=False)
+
+
 def measure_retention() -> None:
     """Memory of kept tasks and jobs, from the real classes."""
     say_memory("kept task at a sidecar", KEPT_TASKS, _fill_guard)
@@ -364,6 +241,8 @@
     "forwarding": measure_forwarding,
     "spread": measure_spread,
     "sidecar-tasks": measure_sidecar_tasks,
+    "teams": measure_teams,
+    "configuration": measure_configuration,
     "retention": measure_retention,
 }
 
--- a/packages/standins/src/sardineroute_standins/bench.py
+++ b/packages/standins/src/sardineroute_standins/bench.py
@@ -213,7 +213,7 @@
 def _teams(urgency: int) -> dict[str, Any]:
     return {
         team: {
-            "schema_version": 1,
+            "schema_version": 2,
             "kinds": {
                 kind: {"urgency": urgency if kind == FLOOD_KIND else 0}
                 for kind in kinds
--- a/packages/standins/src/sardineroute_standins/configure.py
+++ b/packages/standins/src/sardineroute_standins/configure.py
@@ -17,12 +17,15 @@
     """Raised where the fleet doesn't take a configuration; says why."""
 
 
-def publish(fleet: fleet_module.Fleet, changes: dict[str, Any]) -> None:
-    """Changes keys of the configuration and waits until it is in force.
+def publish(
+    fleet: fleet_module.Fleet, changes: dict[str, Any], wait: bool = True
+) -> None:
+    """Changes keys of the configuration.
 
     Args:
         fleet: The fleet.
         changes: Keys of the configuration document and their new values.
+        wait: Whether to return only when the change is in force everywhere.
 
     Raises:
         NotConfigurable: The entry has no such interface or refused it.
@@ -48,7 +51,8 @@
         raise NotConfigurable(
             f"PUT /v1/config answered {answer.status}: {answer.data!r}"
         )
-    time.sleep(IN_FORCE_S)
+    if wait:
+        time.sleep(IN_FORCE_S)
 
 
 def _tag(shown: urllib3.BaseHTTPResponse, described: dict[str, Any]) -> str:
