--- a/packages/standins/src/sardineroute_standins/main.py
+++ b/packages/standins/src/sardineroute_standins/main.py
@@ -1,15 +1,22 @@
 """The command line of the stand-ins."""
 
+import pathlib
 import signal
 
 import typer
 
 from sardineroute_standins import backend as backend_module
+from sardineroute_standins import bench as bench_module
+from sardineroute_standins import benchmain
 from sardineroute_standins import control
 from sardineroute_standins import demo as demo_module
+from sardineroute_standins import driver
 from sardineroute_standins import fleet as fleet_module
 from sardineroute_standins import layout
 from sardineroute_standins import platform
+from sardineroute_standins import soak as soak_module
+
+_OUT = pathlib.Path("out")
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
@@ -38,10 +45,11 @@
     speed: float = 1.0,
     slots: int = 8,
     kinds: str = "",
+    starts: pathlib.Path | None = None,
 ) -> None:
     """Serves the stand-in of a backend server; KINDS are comma-separated."""
     offered = tuple(kind for kind in kinds.split(",") if kind)
-    options = backend_module.Options(name, speed, slots, offered)
+    options = backend_module.Options(name, speed, slots, offered, starts)
     backend_module.serve(host, port, options)
 
 
@@ -79,6 +87,79 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def drive(plan: pathlib.Path, results: pathlib.Path) -> None:
+    """Runs one driver process of a measurement."""
+    driver.run(plan, results)
+
+
+@app.command()
+def bench(
+    seed: int = 1,
+    seconds: float = 15.0,
+    rounds: int = 1,
+    load: str = "0.7,0.9",
+    policies: str = "",
+    flood: str = "none",
+    fault: str = "none",
+    table: bool = False,
+    out: pathlib.Path = _OUT,
+    keep: pathlib.Path | None = None,
+) -> None:
+    """Measures a fleet of 3 entries and 11 backend servers.
+
+    LOAD is a list of shares of the fleet's capacity, POLICIES one of dispatch
+    policies; FLOOD and FAULT name what to measure in place of plain loads, or
+    "all". With --table all of it runs and every bound is printed.
+    """
+    _exit_on_signals()
+    floods = _chosen(flood, bench_module.FLOODS)
+    faults = _chosen(fault, bench_module.FAULTS)
+    plain = not floods and not faults
+    met = benchmain.run(
+        benchmain.Request(
+            options=bench_module.Options(
+                seed=seed,
+                seconds=seconds,
+                rounds=rounds,
+                loads=tuple(float(share) for share in load.split(",")),
+                policies=tuple(name for name in policies.split(",") if name),
+            ),
+            floods=bench_module.FLOODS if table else floods,
+            faults=bench_module.FAULTS if table else faults,
+            with_loads=table or plain,
+            with_idle=table or plain,
+            out=out,
+            keep=keep,
+        )
+    )
+    if not met:
+        raise typer.Exit(1)
+
+
+@app.command()
+def soak(
+    seed: int = 1,
+    minutes: float = 10.0,
+    out: pathlib.Path = _OUT,
+) -> None:
+    """Injects random faults into a fleet and counts broken promises."""
+    _exit_on_signals()
+    folder = out / f"soak-{seed}"
+    if not soak_module.run(soak_module.Options(seed, minutes, folder)):
+        raise typer.Exit(1)
+
+
+def _chosen(text: str, known: tuple[str, ...]) -> tuple[str, ...]:
+    if text == "none":
+        return ()
+    names = known if text == "all" else tuple(text.split(","))
+    for name in names:
+        if name not in known:
+            raise typer.BadParameter(f"{name}: allowed: {', '.join(known)}")
+    return names
+
+
 def _exit_on_signals() -> None:
     signal.signal(signal.SIGINT, _exit)
     signal.signal(signal.SIGTERM, _exit)
