--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -9,6 +9,7 @@
 
 import conftest
 from sardineroute_standins import caller
+from sardineroute_standins import fleet as fleet_module
 
 TIMEOUT_S = 20.0
 
@@ -42,6 +43,16 @@
         time.sleep(0.01)
 
 
+def _is_known(running: fleet_module.Fleet, key: str) -> bool:
+    token = running.secrets.team_tokens_by_name["anrc"]
+    response = running.http.request(
+        "GET",
+        f"{running.entry_urls_by_name['entry-1']}/v1/jobs/{key}",
+        headers={"Authorization": f"Bearer {token}"},
+    )
+    return response.status == 200
+
+
 def test_stop_cuts_no_request(fleet: conftest.FleetFactory) -> None:
     """Covers running, kept-alive, new and half-sent requests at once."""
     running = fleet(entries=1, backend_servers=1)
@@ -63,6 +74,8 @@
             for job in jobs
         ]
         _wait_until(lambda: len(running.executions()) == 8)
+        for job in jobs:
+            _wait_until(lambda key=job.key: _is_known(running, key))
         running.terminate("entry-1")
         ready = f"{url}/readyz"
         _wait_until(lambda: running.http.request("GET", ready).status == 503)
