--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -12,12 +12,14 @@
 from sardinerouted import signals
 from sardinerouted.entry import assembly
 from sardinerouted.entry import calls
+from sardinerouted.entry import dispatch
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
 from sardinerouted.entry import peers
 from sardinerouted.entry import roster
 from sardinerouted.entry import state as entry_state
+from sardinerouted.web import options as web_options
 
 _log = logs.part("entry")
 
@@ -51,14 +53,11 @@
         ),
         asyncio.create_task(state.keeper.run()),
         asyncio.create_task(assembly.clear_solo(state)),
+        asyncio.create_task(dispatch.watch_overdue(state.dispatcher)),
     ]
     httpd.start(
         front.build(state, asyncio.get_running_loop()),
-        options.http.listen,
-        options.http.threads,
-        options.http.listen_queue,
-        options.http.max_body_bytes,
-        options.http.tls,
+        web_options.for_entry(options.http),
     )
     _log.info("Serving.", id=options.id)
     await signals.stop_requested()
@@ -108,6 +107,7 @@
     """Takes no new job, hands over, and finishes those in flight."""
     _log.info("Draining.")
     state.draining = True
+    httpd.drain()
     departure = membership.Departure(
         state.identity.id, messages.Role.ENTRY, state.identity.incarnation
     )
--- a/packages/standins/src/sardineroute_standins/fleet.py
+++ b/packages/standins/src/sardineroute_standins/fleet.py
@@ -1,5 +1,6 @@
 """Runs a whole fleet of real processes on loopback."""
 
+import collections
 import dataclasses
 import json
 import pathlib
@@ -13,6 +14,7 @@
 
 import urllib3
 
+from sardineroute_standins import backend
 from sardineroute_standins import caller
 from sardineroute_standins import layout
 from sardineroute_standins import links
@@ -79,7 +81,11 @@
         self.proxied_entry_urls_by_name: dict[str, str] = {}
         self.backend_servers: list[BackendServer] = []
         self.secrets = layout.make_secrets()
-        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self._authority = str(options.tls.authority) if options.tls else None
+        self._entry_scheme = "https" if options.tls else "http"
+        self.http = urllib3.PoolManager(
+            retries=False, timeout=10.0, ca_certs=self._authority
+        )
         self._writer = layout.Writer(options, self.secrets, self.folder)
         self._ports = ports_module.Ports()
         self._spawner = processes.Spawner()
@@ -135,9 +141,12 @@
         member = self._member(f"entry-{index + 1}", index)
         file = self._writer.entry(member)
         self._launch_daemon("entry", member, file)
-        self.entry_urls_by_name[member.id] = layout.url(member.http_port)
+        scheme = self._entry_scheme
+        url = layout.url(member.http_port, scheme)
+        self.entry_urls_by_name[member.id] = url
         proxied_port = self.links.route(f"{member.id}:http", member.http_port)
-        self.proxied_entry_urls_by_name[member.id] = layout.url(proxied_port)
+        proxied_url = layout.url(proxied_port, scheme)
+        self.proxied_entry_urls_by_name[member.id] = proxied_url
         return member.id
 
     def add_backend_server(self) -> BackendServer:
@@ -197,17 +206,21 @@
     def executions(self) -> dict[str, int]:
         """Returns the starts of each task key over all backend servers.
 
-        Only running backend servers are asked; a killed one has forgotten
-        its starts.
+        Running backend servers are asked, the files of killed ones read.
         """
-        starts_by_key: dict[str, int] = {}
+        starts_by_key: collections.Counter[str] = collections.Counter()
         for server in self.backend_servers:
-            if not self.processes_by_name[server.name].running:
+            if self.processes_by_name[server.name].running:
+                counts = self._client.call("GET", f"{server.url}/executions")
+                starts_by_key.update(counts)
                 continue
-            counts = self._client.call("GET", f"{server.url}/executions")
-            for key, count in counts.items():
-                starts_by_key[key] = starts_by_key.get(key, 0) + count
-        return starts_by_key
+            for start in backend.read_starts(self.starts_file(server)):
+                starts_by_key[start.key] += 1
+        return dict(starts_by_key)
+
+    def starts_file(self, server: BackendServer) -> pathlib.Path:
+        """Returns the file in which a backend server notes its starts."""
+        return self.folder / f"{server.name}.starts"
 
     def describe(self) -> dict[str, Any]:
         """Returns what `up` prints: URLs, process ids and tokens."""
@@ -265,6 +278,7 @@
         arguments = [STANDINS, "backend", "--name", server.name]
         arguments += ["--port", str(port), "--speed", f"{speed:.2f}"]
         arguments += ["--slots", str(self.options.slots)]
+        arguments += ["--starts", str(self.starts_file(server))]
         self._launch(server.name, arguments, port)
 
     def _member(self, name: str, index: int) -> layout.Member:
@@ -283,15 +297,19 @@
         self, role: str, member: layout.Member, file: pathlib.Path
     ) -> None:
         arguments = [DAEMON, role, "--settings", str(file)]
-        self._launch(member.id, arguments, member.http_port)
+        scheme = self._entry_scheme if role == "entry" else "http"
+        self._launch(member.id, arguments, member.http_port, scheme)
 
-    def _launch(self, name: str, arguments: list[str], port: int) -> None:
+    def _launch(
+        self, name: str, arguments: list[str], port: int, scheme: str = "http"
+    ) -> None:
         process = processes.Process(
             self._spawner,
             name,
             arguments,
-            f"{layout.url(port)}/readyz",
+            f"{layout.url(port, scheme)}/readyz",
             self.folder / f"{name}.out",
+            self._authority,
         )
         self.processes_by_name[name] = process
         process.start()
@@ -319,13 +337,14 @@
     if not process.running:
         raise FleetError(f"ended: {processes.tails([process])}")
     try:
-        response = urllib3.request(
-            "GET",
-            process.ready_url,
-            headers={"Connection": "close"},
-            timeout=READY_CALL_TIMEOUT_S,
-            retries=False,
-        )
+        with urllib3.PoolManager(ca_certs=process.authority) as http:
+            response = http.request(
+                "GET",
+                process.ready_url,
+                headers={"Connection": "close"},
+                timeout=READY_CALL_TIMEOUT_S,
+                retries=False,
+            )
     except urllib3.exceptions.HTTPError:
         return False
     return response.status == 200
--- a/packages/standins/src/sardineroute_standins/processes.py
+++ b/packages/standins/src/sardineroute_standins/processes.py
@@ -20,6 +20,11 @@
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def python(module_arguments: list[str]) -> list[str]:
+    """Returns the command that runs a module with this interpreter."""
+    return [sys.executable, "-m", *module_arguments]
+
+
 class Spawner:
     """Starts processes that the kernel kills when this one ends.
 
@@ -69,6 +74,7 @@
     Attributes:
         name: Its name in the fleet.
         ready_url: Answers 200 when the process is ready.
+        authority: File of certificates that verify it, for HTTPS.
         output: The file that takes what it prints.
     """
 
@@ -79,12 +85,14 @@
         module_arguments: list[str],
         ready_url: str,
         output: pathlib.Path,
+        authority: str | None = None,
     ) -> None:
         self.name = name
+        self.authority = authority
         self.ready_url = ready_url
         self.output = output
         self._spawner = spawner
-        self._arguments = [sys.executable, "-m", *module_arguments]
+        self._arguments = python(module_arguments)
         self._child: subprocess.Popen[bytes] | None = None
 
     @property
