--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -26,6 +26,7 @@
     {
         messages.TaskOutcome.REFUSED_FULL,
         messages.TaskOutcome.REFUSED_CANCELED,
+        messages.TaskOutcome.NEVER_SEEN,
     }
 )
 
@@ -240,29 +241,8 @@
         if task.job.state is not jobs.State.RUNNING:
             self._finish(task, 0.0)
             return True
-        if server.id in task.excluded_server_ids:
-            kind = task.job.submission.kind
-            others = self._choose(
-                choice.Request(
-                    kind, self.servers_of(kind), 1, task.excluded_server_ids
-                )
-            )
-            if others.server is None:
-                self._put_back_or_fail(task)
-                return False
-            server = others.server
         return self._send(server, task)
 
-    def _put_back_or_fail(self, task: jobs.Task) -> None:
-        kind = task.job.submission.kind
-        ids = {server.id for server in self.servers_of(kind)}
-        self._queue.put_back(task)
-        if ids <= task.excluded_server_ids:
-            task.job.fail(
-                errors.Kind.CANNOT_RUN,
-                f"every worker of kind {kind!r} was told not to start a task",
-            )
-
     def _send(self, server: backends.BackendServer, task: jobs.Task) -> bool:
         submission = task.job.submission
         grant = self._ownership.grant_of(task.job.id)
@@ -298,7 +278,6 @@
             )
         )
         return True
-        return True
 
     def _end(
         self,
@@ -349,9 +328,7 @@
     ) -> None:
         """Queues a task again that provably did not start."""
         task.phase = jobs.Phase.QUEUED
-        if outcome is messages.TaskOutcome.NEVER_SEEN:
-            task.excluded_server_ids |= {server.id}
-        elif outcome not in _EXPECTED_REFUSALS:
+        if outcome not in _EXPECTED_REFUSALS:
             self.health.refused(server.id, task.id)
         if task.job.state is jobs.State.RUNNING:
             self._queue.put_back(task)
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -75,7 +75,6 @@
     sent_ms: int = 0
     epoch: int = 0
     attempt: int = 0
-    excluded_server_ids: frozenset[str] = frozenset()
     expected_ms: float = 0.0
     overdue_ms: int = 0
     charged_ms: float = 0.0
