Add the command line: jobs, configuration, fleet, drain, traces

Commands and queries stand apart. Several entries are tried in order; a job whose answer was lost is asked for again with the same key and body. The operators' commands wait for their paths on the entries and are not tested yet.

--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,182 @@
+"""The command line, against real entries."""
+
+import json
+import pathlib
+import socket
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+import typer.testing
+
+import conftest
+from sardineroute import main
+from sardineroute_core import errors
+from sardineroute_standins import fleet as fleet_module
+
+Run = Callable[..., Any]
+TASKS = [{"n": n} for n in range(3)]
+
+
+@pytest.fixture(scope="module")
+def small(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[fleet_module.Fleet]:
+    """A fleet of one entry and one backend server for all tests here."""
+    yield from conftest.small_fleet(tmp_path_factory.mktemp("cli"))
+
+
+def _runner(token: str, *urls: str) -> Run:
+    def run(*arguments: str, text: str = "") -> Any:
+        options = [part for url in urls for part in ("--url", url)]
+        return typer.testing.CliRunner().invoke(
+            main.app, ["--token", token, *options, *arguments], input=text
+        )
+
+    return run
+
+
+@pytest.fixture
+def run(small: fleet_module.Fleet) -> Run:
+    """Runs the command line as a team, on the small fleet."""
+    token = small.secrets.team_tokens_by_name["anrc"]
+    return _runner(token, *small.entry_urls_by_name.values())
+
+
+@pytest.fixture
+def free_url() -> Iterator[str]:
+    """A URL at which nothing listens."""
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        yield f"http://127.0.0.1:{held.getsockname()[1]}"
+
+
+def test_job_is_submitted_from_a_file_or_standard_input(
+    run: Run, tmp_path: pathlib.Path
+) -> None:
+    file = tmp_path / "job.json"
+    file.write_text(json.dumps({"kind": "receipt.issue", "tasks": TASKS}))
+    table = run("job", "submit", str(file), "--key", "cli/1 ?")
+    assert table.exit_code == 0
+    assert '"echo": {"n": 2}' in table.stdout
+    shown = run("job", "show", "cli/1 ?", "--json")
+    assert shown.exit_code == 0
+    assert [a["echo"] for a in json.loads(shown.stdout)["answers"]] == TASKS
+    typed = run(
+        "job",
+        "submit",
+        "-",
+        "--kind",
+        "receipt.issue",
+        "--timeout",
+        "5000",
+        "--json",
+        text=json.dumps(TASKS),
+    )
+    assert json.loads(typed.stdout)["state"] == "complete"
+    assert typed.stderr.startswith("key: cli-")
+
+
+def test_exit_code_tells_refused_from_unknown_from_failed(
+    run: Run, small: fleet_module.Fleet
+) -> None:
+    def submit(key: str, task: object, *options: str) -> Any:
+        return run(
+            *("job", "submit", "-", "--kind", "receipt.issue"),
+            *("--key", key, *options),
+            text=json.dumps([task]),
+        )
+
+    assert submit("fails", {"fail": True}).exit_code == errors.EXIT_FAILED
+    late = submit("late", {"run_ms": 3_000}, "--timeout", "100")
+    assert late.exit_code == errors.EXIT_UNKNOWN
+    refused = submit("bad", 1, "--timeout", "0")
+    assert refused.exit_code == errors.EXIT_REFUSED
+    assert "bad_request: timeout_ms: found 0" in refused.stderr
+    assert run("job", "show", "none").exit_code == errors.EXIT_FAILED
+    assert run("job", "submit", "/none").exit_code == errors.EXIT_USAGE
+    assert run("job", "submit", "-", text="[").exit_code == errors.EXIT_USAGE
+    wrong = _runner("nobody", *small.entry_urls_by_name.values())
+    shown = wrong("job", "show", "x", "--json")
+    assert shown.exit_code == errors.EXIT_REFUSED
+    assert json.loads(shown.stdout)["code"] == "unauthorized"
+
+
+def test_missing_url_or_token_is_wrong_use() -> None:
+    bare = typer.testing.CliRunner().invoke(main.app, ["job", "show", "x"])
+    assert bare.exit_code == errors.EXIT_USAGE
+    assert "SARDINEROUTE_URL" in bare.stderr
+
+
+def test_lost_answer_is_asked_for_again_with_the_same_key(
+    fleet: conftest.FleetFactory, free_url: str
+) -> None:
+    running = fleet(entries=2, backend_servers=1, proxied=True)
+    token = running.secrets.team_tokens_by_name["anrc"]
+    proxied = running.proxied_entry_urls_by_name
+    running.links.set_faults("entry-1:http", drop_replies=1)
+    submit = (
+        *("job", "submit", "-", "--kind", "receipt.issue", "--json"),
+        *("--key", "once"),
+    )
+    run = _runner(token, free_url, proxied["entry-1"], proxied["entry-2"])
+    answered = run(*submit, text=json.dumps(TASKS))
+    assert answered.exit_code == 0
+    assert len(json.loads(answered.stdout)["answers"]) == len(TASKS)
+    assert set(running.executions().values()) == {1}
+    assert len(running.executions()) == len(TASKS)
+    running.links.set_faults("entry-1:http", drop_replies=100)
+    lost = _runner(token, proxied["entry-1"], free_url)
+    unknown = lost(*submit, text=json.dumps(TASKS))
+    assert unknown.exit_code == errors.EXIT_UNKNOWN
+    assert "it may have run" in unknown.stderr
+    nowhere = _runner(token, free_url)(*submit, text=json.dumps(TASKS))
+    assert nowhere.exit_code == errors.EXIT_REFUSED
+    assert "not run" in nowhere.stderr
+    assert set(running.executions().values()) == {1}
+
+
+def test_spans_print_as_a_tree(tmp_path: pathlib.Path) -> None:
+    def span(span_id: str, parent: str, name: str, at_ms: int) -> str:
+        return json.dumps(
+            {
+                "trace_id": "t1",
+                "span_id": span_id,
+                "parent_id": parent,
+                "name": name,
+                "process": "entry-1",
+                "start_unix_ns": 10**18 + at_ms * 10**6,
+                "end_unix_ns": 10**18 + (at_ms + 5) * 10**6,
+                "attributes": {"job.key": "k1"} if name == "submit" else {},
+                "error": "",
+            }
+        )
+
+    one = tmp_path / "one.jsonl"
+    other = tmp_path / "other.jsonl"
+    one.write_text(span("b", "a", "queue", 2) + "\n")
+    other.write_text(
+        f"{span('a', 'caller', 'submit', 0)}\n{span('c', 'a', 'run', 1)}\n"
+    )
+    arguments = [
+        "trace",
+        "show",
+        "k1",
+        "--file",
+        str(one),
+        "--file",
+        str(other),
+    ]
+    shown = typer.testing.CliRunner().invoke(main.app, arguments)
+    assert shown.exit_code == 0
+    assert shown.stdout.splitlines() == [
+        "trace t1",
+        "   start ms   took ms  span",
+        "        0.0       5.0  submit [entry-1] job.key=k1",
+        "        1.0       5.0    run [entry-1]",
+        "        2.0       5.0    queue [entry-1]",
+    ]
+    arguments[2] = "k2"
+    missing = typer.testing.CliRunner().invoke(main.app, arguments)
+    assert missing.exit_code == errors.EXIT_FAILED
