--- a/packages/daemon/src/sardinerouted/entry/links.py
+++ b/packages/daemon/src/sardinerouted/entry/links.py
@@ -129,6 +129,8 @@
         dispatcher.take(server, message)
     elif isinstance(message, messages.PartitionTasks):
         asked.take(message)
+    elif isinstance(message, messages.Room):
+        dispatcher.take_room(server, message)
     elif isinstance(message, messages.Pong):
         server.observe_tick(message.tick_ms)
     elif isinstance(message, messages.Leaving):
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -12,6 +12,7 @@
 from sardinerouted import signals
 from sardinerouted.entry import assembly
 from sardinerouted.entry import calls
+from sardinerouted.entry import dispatch
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
@@ -52,6 +53,7 @@
         ),
         asyncio.create_task(state.keeper.run()),
         asyncio.create_task(assembly.clear_solo(state)),
+        asyncio.create_task(dispatch.watch_overdue(state.dispatcher)),
     ]
     httpd.start(
         front.build(state, asyncio.get_running_loop()),
--- a/packages/daemon/src/sardinerouted/entry/questions.py
+++ b/packages/daemon/src/sardinerouted/entry/questions.py
@@ -188,7 +188,7 @@
                 task.server_id = server.id
                 task.sent_ms = self._clock.now_ms()
                 task.epoch = epoch
-                server.tasks_by_id[task.id] = task
+                server.add(task)
         for told in found:
             self._dispatcher.take(server, told)
 
