Trace each hop of a job with OpenTelemetry

Change: spans submit, call home entry, run job, queue, task, sidecar and call backend server under the caller's W3C traceparent, which reaches the backend server also where nothing is traced. A malformed traceparent is ignored. An entry that stops no longer logs canceled streams as errors.

--- a/packages/core/src/sardineroute_core/streams.py
+++ b/packages/core/src/sardineroute_core/streams.py
@@ -199,6 +199,9 @@
             await handle(connection)
         except (ConnectionLost, TimeoutError):
             pass
+        except asyncio.CancelledError:
+            # The process stops; the event loop would log the cancellation.
+            pass
         finally:
             writer.close()
 
--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/commands.py
@@ -1,10 +1,12 @@
 """What callers and operators can change: submit and cancel jobs."""
 
 import asyncio
+import dataclasses
 
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardineroute_core import traces
 from sardinerouted.entry import home
 from sardinerouted.entry import jobs
 from sardinerouted.entry import recovery
@@ -75,6 +77,17 @@
     Raises:
         errors.Error: The job was refused, or has moved to another entry.
     """
+    about = {"job.id": submission.job_id}
+    with traces.span("run job", submission.traceparent, about) as span:
+        traced = dataclasses.replace(submission, traceparent=span.traceparent)
+        return await _run_here(state, traced, witnessed)
+
+
+async def _run_here(
+    state: entry_state.EntryState,
+    submission: jobs.Submission,
+    witnessed: bool,
+) -> messages.Outcome:
     job = state.jobs_by_id.get(submission.job_id)
     if job is None:
         job = _start(state, submission, witnessed)
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -14,6 +14,7 @@
 from sardinerouted.entry import ownership
 from sardinerouted.entry import queues
 from sardinerouted.entry import speeds
+from sardinerouted.entry import tasktraces
 
 # With tasks queued, looks again at least so often; sends nothing by itself.
 _RECHECK_MS = 250
@@ -166,6 +167,7 @@
         for task in tasks:
             server.remove(task.id)
             task.phase = jobs.Phase.UNKNOWN
+            tasktraces.ended(task, messages.TaskOutcome.UNKNOWN)
             self._finish(task, 0.0)
             task.job.fail(
                 errors.Kind.OUTCOME_UNKNOWN,
@@ -294,7 +296,7 @@
                 kind=submission.kind,
                 payload=task.payload,
                 timeout_ms=max(1, task.job.deadline_ms - now_ms),
-                traceparent=submission.traceparent,
+                traceparent=tasktraces.sent(task),
             )
         )
         return True
@@ -307,6 +309,7 @@
         result: messages.Result,
     ) -> None:
         outcome = messages.TaskOutcome(result.outcome)
+        tasktraces.ended(task, outcome)
         if outcome.never_started:
             self._requeue(server, task, outcome)
             return
--- a/packages/daemon/src/sardinerouted/entry/job_handlers.py
+++ b/packages/daemon/src/sardinerouted/entry/job_handlers.py
@@ -1,11 +1,13 @@
 """The callers' interface: submit, show and cancel jobs over HTTP."""
 
+import dataclasses
 import json
 from collections.abc import Coroutine
 from typing import Any
 
 from sardineroute_core import errors
 from sardineroute_core import messages
+from sardineroute_core import traces
 from sardinerouted.entry import auth
 from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
@@ -30,7 +32,7 @@
     def submit(request: requests.Request) -> routes.Pending:
         team = tokens.team(request)
         submission = parsing.submission(request, team, state.policy.current)
-        call = commands.submit(state, submission)
+        call = _submit(state, submission)
         return pending(call, submission.timeout_ms)
 
     def show(request: requests.Request) -> routes.Pending:
@@ -57,6 +59,23 @@
     ]
 
 
+async def _submit(
+    state: entry_state.EntryState, submission: jobs.Submission
+) -> messages.Outcome:
+    about: traces.Attributes = {
+        "job.key": submission.key,
+        "job.id": submission.job_id,
+        "team": submission.team,
+        "kind": submission.kind,
+        "tasks": len(submission.tasks),
+    }
+    with traces.span("submit", submission.traceparent, about) as span:
+        traced = dataclasses.replace(submission, traceparent=span.traceparent)
+        outcome = await commands.submit(state, traced)
+        span.end(outcome.code)
+        return outcome
+
+
 def render(outcome: messages.Outcome) -> responses.Response:
     """Returns the response that tells where a job stands."""
     if outcome.state == jobs.State.COMPLETE:
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -8,6 +8,7 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardineroute_core import traces
 
 MAX_TIMEOUT_MS = 600_000
 
@@ -62,7 +63,8 @@
 
     `expected_ms` is the run time expected at the server it was sent to,
     `overdue_ms` the time after which it is far too late, and `charged_ms`
-    what its team's share was charged for it.
+    what its team's share was charged for it. `queued_ns` is when it was queued
+    again, and `span` its trace at the server.
     """
 
     id: str
@@ -79,6 +81,8 @@
     expected_ms: float = 0.0
     overdue_ms: int = 0
     charged_ms: float = 0.0
+    queued_ns: int = 0
+    span: traces.Span = traces.NONE
 
 
 class Job:
@@ -86,6 +90,7 @@
 
     Attributes:
         submission: What the caller submitted.
+        queued_ns: When its tasks were queued first.
         tasks: The tasks in the caller's order.
         tasks_by_id: The same tasks by id.
         deadline_ms: When the caller's timeout ends, in the entry's time.
@@ -106,6 +111,7 @@
         holds: Callable[[], bool] = lambda: True,
     ) -> None:
         self.submission = submission
+        self.queued_ns = traces.now_ns()
         self.partition = partition
         self.holds = holds
         self.id = submission.job_id
--- a/packages/daemon/src/sardinerouted/entry/parsing.py
+++ b/packages/daemon/src/sardinerouted/entry/parsing.py
@@ -11,9 +11,9 @@
 from sardinerouted.web import requests
 
 MAX_TASKS = 1_700
-MAX_TIMEOUT_MS = 600_000
 MAX_KEY_CHARS = 128
 
+_TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 _KEY = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?")
 
 
@@ -47,7 +47,7 @@
         kind=parsed.kind,
         tasks=tuple(bytes(task) for task in parsed.tasks),
         timeout_ms=timeout_ms,
-        traceparent=request.header("traceparent"),
+        traceparent=_traceparent(request.header("traceparent")),
     )
 
 
@@ -77,6 +77,11 @@
     return key
 
 
+def _traceparent(text: str) -> str:
+    # A malformed one is ignored, as the W3C's recommendation asks.
+    return text if _TRACEPARENT.fullmatch(text) else ""
+
+
 def _parse(body: bytes) -> _JobBody:
     try:
         parsed = _decoder.decode(body)
@@ -90,7 +95,7 @@
         ) from error
     _check_number("tasks", len(parsed.tasks), MAX_TASKS)
     if parsed.timeout_ms is not None:
-        _check_number("timeout_ms", parsed.timeout_ms, MAX_TIMEOUT_MS)
+        _check_number("timeout_ms", parsed.timeout_ms, jobs.MAX_TIMEOUT_MS)
     return parsed
 
 
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -7,6 +7,7 @@
 from sardineroute_core import platformlog
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import traces
 from sardinerouted import httpd
 from sardinerouted import membership
 from sardinerouted import signals
@@ -27,7 +28,11 @@
 def run(options: settings.Entry) -> int:
     """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
-    return asyncio.run(_main(options))
+    traces.configure(options.traces, options.id)
+    try:
+        return asyncio.run(_main(options))
+    finally:
+        traces.close()
 
 
 async def _main(options: settings.Entry) -> int:
--- a/packages/daemon/src/sardinerouted/entry/routing.py
+++ b/packages/daemon/src/sardinerouted/entry/routing.py
@@ -1,6 +1,7 @@
 """Brings a request to the home entry of its job."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -8,6 +9,7 @@
 from sardineroute_core import errors
 from sardineroute_core import messages
 from sardineroute_core import streams
+from sardineroute_core import traces
 from sardinerouted.entry import leasefold
 from sardinerouted.entry import peers
 from sardinerouted.entry import state as entry_state
@@ -81,7 +83,15 @@
     if owner.member.incarnation == state.identity.incarnation:
         return await execute_here()
     peer = state.peers.of(owner.member)
-    outcome: messages.Outcome = await peer.call(request())
+    message = request()
+    outcome: messages.Outcome
+    if not isinstance(message, messages.Submit):
+        outcome = await peer.call(message)
+        return outcome
+    about = {"home": owner.member.id}
+    with traces.span("call home entry", message.traceparent, about) as span:
+        passed = dataclasses.replace(message, traceparent=span.traceparent)
+        outcome = await peer.call(passed)
     return outcome
 
 
--- a/packages/daemon/src/sardinerouted/sidecar/process.py
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -9,6 +9,7 @@
 from sardineroute_core import platformlog
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import traces
 from sardinerouted import httpd
 from sardinerouted import membership
 from sardinerouted import signals
@@ -24,7 +25,11 @@
 def run(options: settings.Sidecar) -> int:
     """Runs a sidecar until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
-    return asyncio.run(_main(options))
+    traces.configure(options.traces, options.id)
+    try:
+        return asyncio.run(_main(options))
+    finally:
+        traces.close()
 
 
 async def _main(options: settings.Sidecar) -> int:
--- a/packages/daemon/src/sardinerouted/sidecar/runner.py
+++ b/packages/daemon/src/sardinerouted/sidecar/runner.py
@@ -8,6 +8,7 @@
 
 from sardineroute_core import messages
 from sardineroute_core import settings
+from sardineroute_core import traces
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,19 +31,22 @@
             maxsize=options.connections, retries=False, block=False
         )
 
-    def run(self, start: messages.Start) -> Ending:
+    def run(self, start: messages.Start, traceparent: str) -> Ending:
         """Returns how the task ended; blocks until then.
 
-        A connection on which the answer is overdue is closed, so that a late
+        `traceparent` is that of the span that the call is part of. A
+        connection on which the answer is overdue is closed, so that a late
         answer never meets another task.
         """
         began_ns = time.monotonic_ns()
-        outcome, body, detail = self._request(start)
+        span = traces.begin("call backend server", traceparent)
+        outcome, body, detail = self._request(start, span.traceparent)
+        span.end(detail)
         run_ms = (time.monotonic_ns() - began_ns) // 1_000_000
         return Ending(outcome, body, detail, run_ms)
 
     def _request(
-        self, start: messages.Start
+        self, start: messages.Start, traceparent: str
     ) -> tuple[messages.TaskOutcome, bytes, str]:
         timeout_ms = min(start.timeout_ms, self._timeout_ms)
         try:
@@ -50,12 +54,7 @@
                 "POST",
                 self._url,
                 body=start.payload,
-                headers={
-                    "Content-Type": "application/json",
-                    "Task-Key": start.task_id,
-                    "Task-Kind": start.kind,
-                    "traceparent": start.traceparent,
-                },
+                headers=_headers(start, traceparent),
                 timeout=urllib3.Timeout(total=timeout_ms / 1_000),
             )
         except (
@@ -71,6 +70,17 @@
         return _judge(response)
 
 
+def _headers(start: messages.Start, traceparent: str) -> dict[str, str]:
+    headers = {
+        "Content-Type": "application/json",
+        "Task-Key": start.task_id,
+        "Task-Kind": start.kind,
+    }
+    if traceparent:
+        headers["traceparent"] = traceparent
+    return headers
+
+
 def _judge(
     response: urllib3.BaseHTTPResponse,
 ) -> tuple[messages.TaskOutcome, bytes, str]:
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -10,6 +10,7 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import traces
 from sardinerouted.sidecar import guard
 from sardinerouted.sidecar import runner
 
@@ -22,6 +23,7 @@
 class _Queued:
     start: messages.Start
     connection: streams.Connection
+    span: traces.Span
 
 
 class Service:
@@ -103,7 +105,10 @@
             self._tell_same(connection, start, decision.known)
         else:
             self._connections_by_task_id[start.task_id] = connection
-            self._waiting.append(_Queued(start, connection))
+            span = traces.begin(
+                "sidecar", start.traceparent, {"task.id": start.task_id}
+            )
+            self._waiting.append(_Queued(start, connection, span))
             self._fill_slots()
 
     def _answer_ask(
@@ -176,6 +181,7 @@
         kept: collections.deque[_Queued] = collections.deque()
         for queued in self._waiting:
             if queued.start.task_id in withdrawn:
+                queued.span.end("canceled")
                 self._guard.forget(queued.start.task_id)
                 self._guard.fence(queued.start)
                 self._refuse(
@@ -222,15 +228,17 @@
         while self._waiting and self._busy < self._options.slots:
             queued = self._waiting.popleft()
             self._busy += 1
-            run = asyncio.create_task(self._run(queued.start))
+            run = asyncio.create_task(self._run(queued))
             self._runs.add(run)
             run.add_done_callback(self._runs.discard)
 
-    async def _run(self, start: messages.Start) -> None:
+    async def _run(self, queued: _Queued) -> None:
+        start = queued.start
         loop = asyncio.get_running_loop()
         ending = await loop.run_in_executor(
-            self._executor, self._runner.run, start
+            self._executor, self._runner.run, start, queued.span.traceparent
         )
+        queued.span.end(ending.detail)
         self._busy -= 1
         self._fill_slots()
         result = self._result(start.task_id, ending.outcome, ending)
