--- a/packages/daemon/src/sardinerouted/entry/job_handlers.py
+++ b/packages/daemon/src/sardinerouted/entry/job_handlers.py
@@ -10,6 +10,7 @@
 from sardineroute_core import traces
 from sardinerouted.entry import auth
 from sardinerouted.entry import commands
+from sardinerouted.entry import jobmetrics
 from sardinerouted.entry import jobs
 from sardinerouted.entry import parsing
 from sardinerouted.entry import queries
@@ -69,11 +70,17 @@
         "kind": submission.kind,
         "tasks": len(submission.tasks),
     }
+    began_ms = state.clock.now_ms()
     with traces.span("submit", submission.traceparent, about) as span:
         traced = dataclasses.replace(submission, traceparent=span.traceparent)
-        outcome = await commands.submit(state, traced)
+        try:
+            outcome = await commands.submit(state, traced)
+        except errors.Error as error:
+            outcome = jobs.to_error_outcome(submission.job_id, error, 0)
         span.end(outcome.code)
-        return outcome
+    took_ms = state.clock.now_ms() - began_ms
+    jobmetrics.observe(submission, outcome, took_ms / 1_000)
+    return outcome
 
 
 def render(outcome: messages.Outcome) -> responses.Response:
--- a/packages/daemon/src/sardinerouted/httpd.py
+++ b/packages/daemon/src/sardinerouted/httpd.py
@@ -3,6 +3,7 @@
 import cherrypy
 
 from sardinerouted.web import app as web_app
+from sardinerouted.web import measures
 from sardinerouted.web import options as web_options
 from sardinerouted.web import server as web_server
 
@@ -17,9 +18,9 @@
             "engine.autoreload.on": False,
         }
     )
-    cherrypy.server.instance = web_server.make(
-        cherrypy.server, cherrypy.tree, options
-    )
+    server = web_server.make(cherrypy.server, cherrypy.tree, options)
+    measures.watch(server.idle_count, server.in_flight_count)
+    cherrypy.server.instance = server
     cherrypy.server.subscribe()
     cherrypy.engine.start()
 
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -13,6 +13,7 @@
 from sardineroute_core import traces
 from sardinerouted.sidecar import guard
 from sardinerouted.sidecar import runner
+from sardinerouted.sidecar import taskmetrics
 
 MAX_KEPT_TASKS = 200_000
 
@@ -46,6 +47,7 @@
         self._runs: set[asyncio.Task[None]] = set()
         self._busy = 0
         self._leaving = False
+        taskmetrics.watch(lambda: self._busy, lambda: len(self._waiting))
 
     async def handle(self, connection: streams.Connection) -> None:
         """Serves one entry until its stream is closed."""
@@ -199,6 +201,7 @@
         start: messages.Start,
         outcome: messages.TaskOutcome,
     ) -> None:
+        taskmetrics.count(outcome)
         connection.send(self._result(start.task_id, outcome))
 
     def _is_full(self) -> bool:
@@ -239,6 +242,8 @@
             self._executor, self._runner.run, start, queued.span.traceparent
         )
         queued.span.end(ending.detail)
+        taskmetrics.count(ending.outcome)
+        taskmetrics.observe(start.kind, ending.run_ms)
         self._busy -= 1
         self._fill_slots()
         result = self._result(start.task_id, ending.outcome, ending)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -43,9 +43,14 @@
         time.sleep(0.01)
 
 
-def _is_known(running: fleet_module.Fleet, url: str, token: str) -> bool:
-    headers = caller.bearer(token)
-    return running.http.request("GET", url, headers=headers).status == 200
+def _is_known(running: fleet_module.Fleet, key: str) -> bool:
+    token = running.secrets.team_tokens_by_name["anrc"]
+    response = running.http.request(
+        "GET",
+        f"{running.entry_urls_by_name['entry-1']}/v1/jobs/{key}",
+        headers={"Authorization": f"Bearer {token}"},
+    )
+    return response.status == 200
 
 
 def test_stop_cuts_no_request(fleet: conftest.FleetFactory) -> None:
@@ -69,8 +74,7 @@
             for job in jobs
         ]
         for job in jobs:
-            shown = f"{url}/v1/jobs/{job.key}"
-            _wait_until(lambda shown=shown: _is_known(running, shown, token))
+            _wait_until(lambda key=job.key: _is_known(running, key))
         _wait_until(lambda: len(running.executions()) >= 8)
         running.terminate("entry-1")
         ready = f"{url}/readyz"
