--- a/packages/core/src/sardineroute_core/metrics.py
+++ b/packages/core/src/sardineroute_core/metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+prometheus_client.disable_created_metrics()
+
 _MESSAGES = prometheus_client.Counter(
     "sardineroute_messages",
     "Messages between the daemon's processes.",
--- a/packages/daemon/src/sardinerouted/main.py
+++ b/packages/daemon/src/sardinerouted/main.py
@@ -1,4 +1,8 @@
-"""The command `sardinerouted`: starts one role of the daemon."""
+"""The command `sardinerouted`: starts one role of the daemon.
+
+A role's modules are imported when it is started, so that a process holds and
+exposes only what its own role has.
+"""
 
 import pathlib
 import typing
@@ -8,8 +12,6 @@
 
 from sardineroute_core import errors
 from sardineroute_core import settings
-from sardinerouted.entry import process as entry_process
-from sardinerouted.sidecar import process as sidecar_process
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
 
@@ -24,7 +26,9 @@
     loaded = _load(path)
     if not isinstance(loaded, settings.Entry):
         _fail(f"{path}: role: found {loaded.role!r}; allowed: entry")
-    raise typer.Exit(entry_process.run(loaded))
+    from sardinerouted.entry import process
+
+    raise typer.Exit(process.run(loaded))
 
 
 @app.command()
@@ -33,7 +37,9 @@
     loaded = _load(path)
     if not isinstance(loaded, settings.Sidecar):
         _fail(f"{path}: role: found {loaded.role!r}; allowed: sidecar")
-    raise typer.Exit(sidecar_process.run(loaded))
+    from sardinerouted.sidecar import process
+
+    raise typer.Exit(process.run(loaded))
 
 
 @app.command("check-settings")
