--- a/packages/core/src/sardineroute_core/metrics.py
+++ b/packages/core/src/sardineroute_core/metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-prometheus_client.disable_created_metrics()
+prometheus_client.disable_created_metrics()  # type: ignore[no-untyped-call]
 
 _MESSAGES = prometheus_client.Counter(
     "sardineroute_messages",
