--- a/packages/daemon/src/sardinerouted/web/routes.py
+++ b/packages/daemon/src/sardinerouted/web/routes.py
@@ -78,6 +78,7 @@
             errors.Error: No handler fits, or the handler raised it.
         """
         pattern, parameters = self._find(request)
+        request.pattern = "/" + "/".join(pattern)
         methods = self._handlers_by_pattern[pattern]
         handler = methods.get(request.method)
         if handler is None:
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -116,6 +116,14 @@
         unused._selector.close()  # noqa: SLF001
         self._connections: Any = _ConnectionManager(self)
 
+    def idle_count(self) -> int:
+        """Returns the number of idle connections."""
+        return self._connections._num_connections if self.ready else 0
+
+    def in_flight_count(self) -> int:
+        """Returns the number of requests that are not answered yet."""
+        return len(self._in_flight)
+
     def process_conn(self, conn: connection.Connection) -> None:
         """Queues a connection with a request for the threads.
 
