--- a/packages/standins/src/sardineroute_standins/arrivals.py
+++ b/packages/standins/src/sardineroute_standins/arrivals.py
@@ -7,7 +7,12 @@
 
 from sardineroute_standins import layout
 
+# Where tasks of several seconds are hidden among all kinds, their share.
 LONG_SHARE = 0.03
+# Where they are a kind of their own, that kind and its share of the work
+# against the others'.
+LONG_KIND = "order.book"
+LONG_KIND_WEIGHT = 0.5
 LONG_MIN_MS = 2_000.0
 LONG_MAX_MS = 5_000.0
 MAX_TASKS = 100
@@ -74,6 +79,8 @@
         kinds: Names of the kinds, each with an equal share of the work.
         entries: Number of entries.
         prefix: Start of each idempotency key.
+        hidden: Whether the tasks of several seconds are hidden among all
+            kinds; else they are a kind of their own.
         long_only: Whether all tasks take several seconds.
         flood: Whether the jobs belong to a flood.
     """
@@ -84,6 +91,7 @@
     kinds: tuple[str, ...] = layout.ALL_KINDS
     entries: int = 3
     prefix: str = "job"
+    hidden: bool = False
     long_only: bool = False
     flood: bool = False
 
@@ -94,23 +102,14 @@
     Each kind is a Poisson process of its own. Sizes run from 1 to 100 tasks,
     most of them small; most tasks take 50 ms to 1 s, a few several seconds.
     """
-    share_per_s = options.work_per_s / len(options.kinds)
+    weights_by_kind = {kind: _weight(options, kind) for kind in options.kinds}
+    unit_per_s = options.work_per_s / sum(weights_by_kind.values())
     merged: list[Arrival] = []
-    for kind in options.kinds:
-        merged += _generate_kind(options, kind, share_per_s)
+    for kind, weight in weights_by_kind.items():
+        merged += _generate_kind(options, kind, unit_per_s * weight)
     return sorted(merged, key=lambda arrival: arrival.at_ms)
 
 
-def mean_task_ms(profile: KindProfile, long_only: bool) -> float:
-    """Returns the expected run time of a kind's tasks at speed 1."""
-    long_ms = (LONG_MIN_MS + LONG_MAX_MS) / 2
-    if long_only:
-        return long_ms
-    spread = math.log(profile.max_ms / profile.min_ms)
-    usual_ms = (profile.max_ms - profile.min_ms) / spread
-    return LONG_SHARE * long_ms + (1 - LONG_SHARE) * usual_ms
-
-
 def mean_size() -> float:
     """Returns the expected number of tasks in a job."""
     return sum(share * (low + high) / 2 for share, low, high in _SIZE_CLASSES)
@@ -125,12 +124,34 @@
 )
 
 
+def _weight(options: Options, kind: str) -> float:
+    if kind == LONG_KIND and not options.hidden:
+        return LONG_KIND_WEIGHT
+    return 1.0
+
+
+def _long_share(options: Options, kind: str) -> float:
+    if options.long_only:
+        return 1.0
+    if options.hidden:
+        return LONG_SHARE
+    return 1.0 if kind == LONG_KIND else 0.0
+
+
+def _mean_task_ms(profile: KindProfile, long_share: float) -> float:
+    long_ms = (LONG_MIN_MS + LONG_MAX_MS) / 2
+    spread = math.log(profile.max_ms / profile.min_ms)
+    usual_ms = (profile.max_ms - profile.min_ms) / spread
+    return long_share * long_ms + (1 - long_share) * usual_ms
+
+
 def _generate_kind(
     options: Options, kind: str, work_per_s: float
 ) -> Iterator[Arrival]:
     profile = PROFILES_BY_KIND[kind]
+    long_share = _long_share(options, kind)
     rng = random.Random(f"{options.seed}/{options.flood}/{kind}")
-    job_ms = mean_size() * mean_task_ms(profile, options.long_only)
+    job_ms = mean_size() * _mean_task_ms(profile, long_share)
     jobs_per_ms = work_per_s / job_ms
     at_ms = rng.expovariate(jobs_per_ms)
     number = 0
@@ -140,7 +161,7 @@
             at_ms=at_ms,
             team=profile.team,
             kind=kind,
-            run_ms=_run_times(rng, profile, options.long_only),
+            run_ms=_run_times(rng, profile, long_share),
             entry=rng.randrange(options.entries),
             flood=options.flood,
         )
@@ -149,18 +170,18 @@
 
 
 def _run_times(
-    rng: random.Random, profile: KindProfile, long_only: bool
+    rng: random.Random, profile: KindProfile, long_share: float
 ) -> tuple[float, ...]:
     shares = [share for share, _, _ in _SIZE_CLASSES]
     _, low, high = rng.choices(_SIZE_CLASSES, shares)[0]
     size = rng.randint(low, high)
-    return tuple(_run_time(rng, profile, long_only) for _ in range(size))
+    return tuple(_run_time(rng, profile, long_share) for _ in range(size))
 
 
 def _run_time(
-    rng: random.Random, profile: KindProfile, long_only: bool
+    rng: random.Random, profile: KindProfile, long_share: float
 ) -> float:
-    if long_only or rng.random() < LONG_SHARE:
+    if rng.random() < long_share:
         return round(rng.uniform(LONG_MIN_MS, LONG_MAX_MS), 1)
     exponent = rng.random()
     ratio = profile.max_ms / profile.min_ms
--- a/packages/standins/src/sardineroute_standins/bench.py
+++ b/packages/standins/src/sardineroute_standins/bench.py
@@ -14,6 +14,8 @@
 
 FLEET = layout.Options(entries=3, backend_servers=11, log_level="warning")
 IN_FORCE = "in force"
+# The first is the project's own, the others are baselines.
+POLICIES = ("fastest", "least_outstanding", "round_robin", "random")
 FLOOD_FACTOR = 10.0
 OTHER_LOAD = 1 / 3
 FAULT_LOAD = 0.7
@@ -32,6 +34,7 @@
         rounds: Times that each run is made, interleaved.
         loads: Shares of the fleet's capacity.
         policies: Dispatch policies; empty for the one in force.
+        hidden: Whether long tasks are hidden among all kinds.
     """
 
     seed: int = 1
@@ -39,6 +42,7 @@
     rounds: int = 1
     loads: tuple[float, ...] = (0.7, 0.9)
     policies: tuple[str, ...] = ()
+    hidden: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,13 +59,13 @@
 ) -> dict[str, list[experiment.Measured]]:
     """Returns the rounds of each load and policy, by name."""
     runs_by_name: dict[str, list[experiment.Measured]] = {}
-    policies = options.policies or (IN_FORCE,)
+    policies = _settable(fleet, options.policies)
     for number in range(options.rounds):
         for policy in policies:
-            if not _put_policy(fleet, policy):
-                continue
+            _put_policy(fleet, policy)
             for share in options.loads:
                 name = f"load {share:.2f}, {policy}"
+                name += ", hidden long tasks" if options.hidden else ""
                 jobs = _jobs(options, number, share, name)
                 measured = experiment.run(fleet, name, policy, jobs)
                 _say(fleet, [measured])
@@ -156,6 +160,7 @@
             kinds=kinds,
             entries=FLEET.entries,
             prefix=_prefix(name, number),
+            hidden=options.hidden,
         )
     )
 
@@ -189,15 +194,22 @@
     return (FLOOD_KIND,)
 
 
-def _put_policy(fleet: fleet_module.Fleet, policy: str) -> bool:
-    if policy == IN_FORCE:
-        return True
-    try:
+def _settable(
+    fleet: fleet_module.Fleet, policies: tuple[str, ...]
+) -> tuple[str, ...]:
+    settable: list[str] = []
+    for policy in policies:
+        try:
+            _put_policy(fleet, policy)
+            settable.append(policy)
+        except configure.NotConfigurable as error:
+            print(f"policy {policy} skipped: {error}", flush=True)
+    return tuple(settable) or (IN_FORCE,)
+
+
+def _put_policy(fleet: fleet_module.Fleet, policy: str) -> None:
+    if policy != IN_FORCE:
         configure.publish(fleet, {"dispatch": policy})
-    except configure.NotConfigurable as error:
-        print(f"policy {policy}: skipped, it can't be set: {error}", flush=True)
-        return False
-    return True
 
 
 def _put_urgency(fleet: fleet_module.Fleet, flood: str) -> None:
--- a/packages/standins/src/sardineroute_standins/benchmain.py
+++ b/packages/standins/src/sardineroute_standins/benchmain.py
@@ -26,6 +26,7 @@
         floods: Floods to measure.
         faults: Faults to measure.
         with_loads: Whether to run the loads.
+        with_hidden: Whether to run them also with hidden long tasks.
         with_idle: Whether to count messages of the idle fleet.
         out: Folder of the results.
         keep: Folder that keeps the processes' output; None for none.
@@ -35,6 +36,7 @@
     floods: tuple[str, ...]
     faults: tuple[str, ...]
     with_loads: bool
+    with_hidden: bool
     with_idle: bool
     out: pathlib.Path
     keep: pathlib.Path | None = None
@@ -51,6 +53,8 @@
         request = self._request
         if request.with_loads or request.with_idle:
             self._on_fleet(self._loads)
+        if request.with_hidden:
+            self._on_fleet(self._hidden)
         for flood in request.floods:
             self._on_fleet(functools.partial(self._flood, flood))
         for fault in request.faults:
@@ -72,13 +76,24 @@
     def _loads(self, fleet: fleet_module.Fleet) -> None:
         request = self._request
         if request.with_loads:
-            runs_by_name = bench.measure_loads(fleet, request.options)
-            self._rows += table.load_rows(runs_by_name, fleet.options)
-            for name, runs in runs_by_name.items():
-                self._keep(name, runs)
+            self._run_loads(fleet, request.options)
         if request.with_idle:
             self._rows.append(table.idle_row(experiment.idle(fleet, IDLE_S)))
 
+    def _hidden(self, fleet: fleet_module.Fleet) -> None:
+        options = dataclasses.replace(
+            self._request.options, policies=(), hidden=True
+        )
+        self._run_loads(fleet, options)
+
+    def _run_loads(
+        self, fleet: fleet_module.Fleet, options: bench.Options
+    ) -> None:
+        runs_by_name = bench.measure_loads(fleet, options)
+        self._rows += table.load_rows(runs_by_name, fleet.options)
+        for name, runs in runs_by_name.items():
+            self._keep(name, runs)
+
     def _flood(self, flood: str, fleet: fleet_module.Fleet) -> None:
         compared = bench.measure_flood(fleet, flood, self._request.options)
         self._rows += table.flood_rows(compared, fleet.options)
--- a/packages/standins/src/sardineroute_standins/main.py
+++ b/packages/standins/src/sardineroute_standins/main.py
@@ -100,6 +100,7 @@
     rounds: int = 1,
     load: str = "0.7,0.9",
     policies: str = "",
+    hidden: bool = False,
     flood: str = "none",
     fault: str = "none",
     table: bool = False,
@@ -109,8 +110,9 @@
     """Measures a fleet of 3 entries and 11 backend servers.
 
     LOAD is a list of shares of the fleet's capacity, POLICIES one of dispatch
-    policies; FLOOD and FAULT name what to measure in place of plain loads, or
-    "all". With --table all of it runs and every bound is printed.
+    policies; HIDDEN spreads the long tasks among all kinds, in place of a
+    kind of their own; FLOOD and FAULT name what to measure in place of plain
+    loads, or "all". With --table all of it runs and every bound is printed.
     """
     _exit_on_signals()
     floods = _chosen(flood, bench_module.FLOODS)
@@ -123,11 +125,17 @@
                 seconds=seconds,
                 rounds=rounds,
                 loads=tuple(float(share) for share in load.split(",")),
-                policies=tuple(name for name in policies.split(",") if name),
+                policies=(
+                    bench_module.POLICIES
+                    if table and not policies
+                    else tuple(name for name in policies.split(",") if name)
+                ),
+                hidden=hidden,
             ),
             floods=bench_module.FLOODS if table else floods,
             faults=bench_module.FAULTS if table else faults,
             with_loads=table or plain,
+            with_hidden=table,
             with_idle=table or plain,
             out=out,
             keep=keep,
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -1,6 +1,7 @@
 """The generator of a load run: seeded, Poisson, and as large as asked."""
 
 import statistics
+from collections.abc import Sequence
 
 import pytest
 
@@ -13,6 +14,11 @@
     return arrivals.generate(arrivals.Options(**fields))  # type: ignore[arg-type]
 
 
+def _long_share(times_ms: Sequence[float]) -> float:
+    long = sum(time_ms >= arrivals.LONG_MIN_MS for time_ms in times_ms)
+    return long / len(times_ms)
+
+
 @pytest.fixture(scope="module")
 def jobs() -> list[arrivals.Arrival]:
     return generate()
@@ -39,11 +45,27 @@
     assert max(sizes) == arrivals.MAX_TASKS
     assert statistics.median(sizes) < statistics.mean(sizes)
     times_ms = [time_ms for job in jobs for time_ms in job.run_ms]
-    long = sum(time_ms >= arrivals.LONG_MIN_MS for time_ms in times_ms)
-    assert 0 < long / len(times_ms) < 0.05
+    assert 0 < _long_share(times_ms) < 0.05
     assert min(times_ms) >= 50.0
 
 
+def test_long_tasks_are_a_kind_or_hidden_in_all(
+    jobs: list[arrivals.Arrival],
+) -> None:
+    assert {job.kind for job in jobs if _long_share(job.run_ms)} == {
+        arrivals.LONG_KIND
+    }
+    hidden = generate(hidden=True)
+    for kind in layout.ALL_KINDS:
+        times_ms = [
+            time_ms
+            for job in hidden
+            if job.kind == kind
+            for time_ms in job.run_ms
+        ]
+        assert 0 < _long_share(times_ms) < 0.05
+
+
 def test_jobs_come_from_all_kinds_to_all_entries_in_order(
     jobs: list[arrivals.Arrival],
 ) -> None:
