Expect waits from the ends of the tasks at a server; bounce less

Cause: the wait at a full server was its load over its slots, which is wrong for tasks that started together: 40 tasks of 100 ms took 75 ms on an idle fleet whose ideal is 36 ms, as the fastest servers got two rounds. And a sidecar bounced what went past twice its queue: 3.8% of messages wasted.

Change: each task sent carries its expected end and spread; the wait is the expected end of the task whose slot the new one would get. A sidecar takes as many tasks beyond its announced queue as it has slots.

--- a/lab/dispatch_load.py
+++ b/lab/dispatch_load.py
@@ -170,6 +170,7 @@
     parser.add_argument("--seconds", type=float, default=25)
     parser.add_argument("--warm", type=float, default=8)
     parser.add_argument("--queue", type=int, default=4)
+    parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--servers", type=int, default=11)
     parser.add_argument("--jobs", type=int, default=100)
     parser.add_argument("--seed", type=int, default=1)
@@ -177,7 +178,7 @@
     parser.add_argument("--debug", action="store_true")
     args = parser.parse_args()
     options = layout.Options(
-        entries=3, backend_servers=args.servers, queue=args.queue
+        entries=args.entries, backend_servers=args.servers, queue=args.queue
     )
     speeds = [layout.speed(i, args.servers) for i in range(args.servers)]
     capacity = sum(speeds) * options.slots
--- a/packages/daemon/src/sardinerouted/entry/backends.py
+++ b/packages/daemon/src/sardinerouted/entry/backends.py
@@ -12,6 +12,11 @@
 
 _RUN_WEIGHT = 0.05
 _LOAD_WEIGHT = 0.1
+# A task that should have ended is expected to take this part of its run time
+# longer.
+_LATE_PART = 0.2
+# The first of several similar tasks ends so many deviations before the mean.
+_SPREAD = 1.6
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,7 +51,7 @@
         self.wanted = False
         self.tick: Tick | None = None
         self.mean_run_ms = speeds.DEFAULT_RUN_MS
-        self._expected_ms = 0.0
+        self._spread_ms = 0.0
         self._others = 0.0
         self._others_mean = 0.0
         self._others_ms = 0
@@ -72,19 +77,33 @@
         return self.load <= limit - 1
 
     def wait_ms(self) -> float:
-        """Returns the time until a new task is likely to start there."""
-        ours = len(self.tasks_by_id)
-        others = self._others_now()
-        load = ours + others
-        ahead = load - self.announcement.slots + 1
-        if ahead <= 0:
+        """Returns the time until a new task is likely to start there.
+
+        Our tasks end at their expected times, as far spread as their run
+        times are; those of other entries end evenly over their run time.
+        """
+        load = self.load
+        place = round(load) - self.announcement.slots
+        if place < 0:
             return 0.0
-        work_ms = self._expected_ms + others * self.mean_run_ms
-        wait_ms = ahead / self.announcement.slots * work_ms / load
-        quiet_ms = self._clock.now_ms() - self._progress_ms
+        now_ms = self._clock.now_ms()
+        ends_ms = [
+            max(task.ends_ms - now_ms, task.expected_ms * _LATE_PART)
+            for task in self.tasks_by_id.values()
+        ]
+        ours = len(ends_ms)
+        others = round(load) - ours
+        step_ms = self.mean_run_ms / (min(others, self.announcement.slots) + 1)
+        ends_ms += [step_ms * (index + 1) for index in range(others)]
+        ends_ms.sort()
+        fraction = (place + 1) / (len(ends_ms) + 1)
+        spread_ms = self._spread_ms / len(ends_ms)
+        wait_ms = ends_ms[place] + spread_ms * (2 * fraction - 1) * _SPREAD
+        wait_ms = max(wait_ms, ends_ms[0] * _LATE_PART)
+        quiet_ms = now_ms - self._progress_ms
         if ours and quiet_ms > self.mean_run_ms:
             # No task has ended there for longer than one should take.
-            return max(wait_ms, quiet_ms)
+            return max(wait_ms, float(quiet_ms))
         return wait_ms
 
     def connected(self, connection: streams.Connection) -> None:
@@ -106,13 +125,13 @@
         if not self.tasks_by_id:
             self._progress_ms = self._clock.now_ms()
         self.tasks_by_id[task.id] = task
-        self._expected_ms += task.expected_ms
+        self._spread_ms += task.spread_ms
 
     def remove(self, task_id: str) -> jobs.Task | None:
         """Counts a task as ended there and returns it, if it was sent."""
         task = self.tasks_by_id.pop(task_id, None)
         if task is not None:
-            self._expected_ms -= task.expected_ms
+            self._spread_ms -= task.spread_ms
         return task
 
     def observe_run(self, run_ms: float) -> None:
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -280,8 +280,11 @@
         task.server_id = server.id
         task.sent_ms = now_ms
         task.expected_ms = self.speeds.expected_ms(submission.kind, server.id)
-        patience_ms = (server.wait_ms() + task.expected_ms) * _OVERDUE_RATIO
-        task.overdue_ms = now_ms + int(max(patience_ms, _OVERDUE_MIN_MS))
+        task.spread_ms = task.expected_ms * self.speeds.spread(submission.kind)
+        took_ms = server.wait_ms() + task.expected_ms
+        task.ends_ms = now_ms + took_ms
+        patience_ms = max(took_ms * _OVERDUE_RATIO, _OVERDUE_MIN_MS)
+        task.overdue_ms = now_ms + int(patience_ms)
         server.add(task)
         self.health.sent(server.id, task.id)
         server.connection.send(
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -54,6 +54,7 @@
     """One task of a job, with what is known of it.
 
     `expected_ms` is the run time expected at the server it was sent to,
+    `spread_ms` its usual deviation, `ends_ms` when it should end,
     `overdue_ms` the time after which it is far too late, and `charged_ms`
     what its team's share was charged for it.
     """
@@ -68,6 +69,8 @@
     sent_ms: int = 0
     excluded_server_ids: frozenset[str] = frozenset()
     expected_ms: float = 0.0
+    spread_ms: float = 0.0
+    ends_ms: float = 0.0
     overdue_ms: int = 0
     charged_ms: float = 0.0
 
--- a/packages/daemon/src/sardinerouted/entry/speeds.py
+++ b/packages/daemon/src/sardinerouted/entry/speeds.py
@@ -27,11 +27,11 @@
 class _Mean:
     """A mean in which older values count less."""
 
-    sum_ms: float = 0.0
+    total: float = 0.0
     count: float = 0.0
 
-    def add(self, value_ms: float, factor: float) -> None:
-        self.sum_ms = self.sum_ms * factor + value_ms
+    def add(self, value: float, factor: float) -> None:
+        self.total = self.total * factor + value
         self.count = self.count * factor + 1.0
 
 
@@ -56,26 +56,37 @@
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
         self._means_by_kind: dict[str, _Mean] = {}
+        self._spreads_by_kind: dict[str, _Mean] = {}
         self._means_by_pair: dict[tuple[str, str], _Mean] = {}
         self._servers_by_id: dict[str, _Server] = {}
 
     def learn(self, kind: str, server_id: str, run_ms: float) -> None:
         """Takes the run time of one answered task."""
         run_ms = max(run_ms, 0.5)
+        expected_ms = self.expected_ms(kind, server_id)
+        spread = self._spreads_by_kind.setdefault(kind, _Mean())
+        spread.add(abs(run_ms - expected_ms) / expected_ms, _FLEET_FACTOR)
         mean = self._means_by_kind.setdefault(kind, _Mean())
         mean.add(run_ms / self.slowness(server_id), _FLEET_FACTOR)
         pair = self._means_by_pair.setdefault((kind, server_id), _Mean())
         pair.add(run_ms, _PAIR_FACTOR)
         server = self._servers_by_id.setdefault(server_id, _Server())
         self._age(server)
-        server.add(run_ms, mean.sum_ms / mean.count)
+        server.add(run_ms, mean.total / mean.count)
 
     def kind_ms(self, kind: str) -> float:
         """Returns the mean run time of a kind on a server of slowness 1."""
         mean = self._means_by_kind.get(kind)
         if mean is None:
             return DEFAULT_RUN_MS
-        return mean.sum_ms / mean.count
+        return mean.total / mean.count
+
+    def spread(self, kind: str) -> float:
+        """Returns the mean deviation of run times over the expected."""
+        mean = self._spreads_by_kind.get(kind)
+        if mean is None or not mean.count:
+            return 0.0
+        return mean.total / mean.count
 
     def known(self, kind: str) -> float:
         """Returns how many recent run times of a kind are known."""
@@ -101,7 +112,7 @@
             return prior_ms
         server = self._servers_by_id[server_id]
         count = pair.count * self._freshness(server)
-        known_ms = pair.sum_ms / pair.count
+        known_ms = pair.total / pair.count
         return (count * known_ms + _PRIOR_COUNT * prior_ms) / (
             count + _PRIOR_COUNT
         )
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -163,7 +163,7 @@
     def _is_full(self) -> bool:
         # Entries aim at the announced queue without knowing of each other's
         # latest starts; what they send too much waits rather than bounces.
-        return self._room() + self._options.queue <= 0
+        return self._room() + self._options.slots <= 0
 
     def _room(self) -> int:
         free = self._options.slots - self._busy
