--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -251,8 +251,7 @@
                 self._put_back_or_fail(task)
                 return False
             server = others.server
-        self._send(server, task)
-        return True
+        return self._send(server, task)
 
     def _put_back_or_fail(self, task: jobs.Task) -> None:
         kind = task.job.submission.kind
@@ -264,17 +263,15 @@
                 f"every worker of kind {kind!r} was told not to start a task",
             )
 
-    def _send(self, server: backends.BackendServer, task: jobs.Task) -> None:
+    def _send(self, server: backends.BackendServer, task: jobs.Task) -> bool:
         submission = task.job.submission
         grant = self._ownership.grant_of(task.job.id)
         if server.connection is None:
             raise ValueError("the server has no connection")
         if grant is None:
-            self._finish(task, 0.0)
-            task.job.fail(
-                errors.Kind.NOT_OWNER, "the lease on this job was lost"
-            )
-            return
+            # Waits until the lease is renewed, or the job is lost with it.
+            self._queue.put_back(task)
+            return False
         now_ms = self._clock.now_ms()
         task.phase = jobs.Phase.SENT
         task.server_id = server.id
@@ -285,6 +282,8 @@
         task.ends_ms = now_ms + took_ms
         patience_ms = max(took_ms * _OVERDUE_RATIO, _OVERDUE_MIN_MS)
         task.overdue_ms = now_ms + int(patience_ms)
+        task.epoch = grant.epoch
+        task.attempt += 1
         server.add(task)
         self.health.sent(server.id, task.id)
         server.connection.send(
@@ -292,6 +291,7 @@
                 task_id=task.id,
                 partition=grant.partition,
                 epoch=grant.epoch,
+                attempt=task.attempt,
                 valid_until_ms=server.to_sidecar_time(grant.valid_until_ms),
                 digest=submission.digest,
                 kind=submission.kind,
@@ -300,6 +300,7 @@
                 traceparent=submission.traceparent,
             )
         )
+        return True
 
     def _end(
         self,
@@ -327,6 +328,11 @@
     def _fail(
         self, task: jobs.Task, outcome: messages.TaskOutcome, detail: str
     ) -> None:
+        if outcome is messages.TaskOutcome.EXPIRED:
+            task.phase = jobs.Phase.ANSWERED
+            expired = "an answer is no longer kept"
+            task.job.fail(errors.Kind.ANSWER_EXPIRED, expired)
+            return
         if outcome is messages.TaskOutcome.FAILED:
             task.phase = jobs.Phase.FAILED
             task.job.fail(errors.Kind.TASK_FAILED, detail)
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -2,27 +2,24 @@
 
 import asyncio
 
-from sardineroute_core import clock
-from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import platformlog
-from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted import httpd
 from sardinerouted import membership
 from sardinerouted import signals
-from sardinerouted.entry import backends
+from sardinerouted.entry import assembly
 from sardinerouted.entry import calls
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import front
-from sardinerouted.entry import jobs
+from sardinerouted.entry import leaving
 from sardinerouted.entry import links
-from sardinerouted.entry import ownership
 from sardinerouted.entry import peers
 from sardinerouted.entry import roster
 from sardinerouted.entry import state as entry_state
+from sardinerouted.web import options as web_options
 
 _log = logs.part("entry")
 
@@ -34,8 +31,8 @@
 
 
 async def _main(options: settings.Entry) -> int:
-    state = _new_state(options)
     log = platformlog.PlatformLog(options.log)
+    state = assembly.new_state(options, log)
     fleet = roster.Roster(state)
     server = await streams.serve(
         options.streams, state.identity, state.clock, _peer_handler(state)
@@ -47,18 +44,20 @@
         asyncio.create_task(membership.publish(log, _announcement(state))),
         asyncio.create_task(
             links.watch_silence(
-                state.servers_by_id, options.streams.silence_ms, state.clock
+                state.servers_by_id,
+                options.streams.silence_ms,
+                options.streams.unreachable_ms,
+                state.clock,
+                state.dispatcher,
             )
         ),
+        asyncio.create_task(state.keeper.run()),
+        asyncio.create_task(assembly.clear_solo(state)),
         asyncio.create_task(dispatch.watch_overdue(state.dispatcher)),
     ]
     httpd.start(
         front.build(state, asyncio.get_running_loop()),
-        options.http.listen,
-        options.http.threads,
-        options.http.listen_queue,
-        options.http.max_body_bytes,
-        options.http.tls,
+        web_options.for_entry(options.http),
     )
     _log.info("Serving.", id=options.id)
     await signals.stop_requested()
@@ -67,36 +66,17 @@
     for task in background:
         task.cancel()
     fleet.close()
+    state.peers.close()
     server.close()
     log.close()
     _log.info("Stopped.")
     return 0
 
 
-def _new_state(options: settings.Entry) -> entry_state.EntryState:
-    time = clock.Clock()
-    identity = streams.Identity(options.id, messages.Role.ENTRY, ids.new_id())
-    owned = ownership.Ownership(options.id, options.ownership.partitions, time)
-    servers_by_id: dict[str, backends.BackendServer] = {}
-    holder = policy.PolicyHolder()
-    place = dispatch.Place(options.failure_domain, options.region)
-    return entry_state.EntryState(
-        options=options,
-        identity=identity,
-        clock=time,
-        ownership=owned,
-        dispatcher=dispatch.Dispatcher(
-            time, servers_by_id, owned, holder, place
-        ),
-        policy=holder,
-        servers_by_id=servers_by_id,
-    )
-
-
 def _announcement(
     state: entry_state.EntryState,
 ) -> membership.Announcement:
-    address = state.options.streams.listen
+    address = state.options.streams.advertise or state.options.streams.listen
     return membership.Announcement(
         id=state.identity.id,
         role=messages.Role.ENTRY,
@@ -115,7 +95,7 @@
         await peers.serve_peer(
             connection,
             state.clock,
-            lambda request: calls.answer(state, request),
+            lambda peer, request: calls.answer(state, peer, request),
         )
 
     return handle
@@ -127,18 +107,11 @@
     """Takes no new job, hands over, and finishes those in flight."""
     _log.info("Draining.")
     state.draining = True
+    httpd.drain()
     departure = membership.Departure(
         state.identity.id, messages.Role.ENTRY, state.identity.incarnation
     )
-    running = [
-        job.ended
-        for job in state.jobs_by_id.values()
-        if job.state is jobs.State.RUNNING
-    ]
-    if running:
-        await asyncio.wait(
-            running, timeout=state.options.drain_timeout_ms / 1_000
-        )
+    await leaving.hand_over(state)
     departing = asyncio.create_task(membership.publish(log, departure))
     await asyncio.wait(
         [departing], timeout=state.options.log.timeout_ms / 1_000
--- a/packages/daemon/src/sardinerouted/entry/queues.py
+++ b/packages/daemon/src/sardinerouted/entry/queues.py
@@ -106,7 +106,7 @@
 
     def add(self, job: jobs.Job) -> None:
         """Queues all tasks of a job: O(log n)."""
-        self._queue(job, job.tasks)
+        self._queue(job, _queued_tasks(job))
 
     def put_back(self, task: jobs.Task) -> None:
         """Queues a task again that was taken and did not start: O(log n)."""
@@ -311,8 +311,9 @@
 
     def add(self, job: jobs.Job) -> None:
         """Queues all tasks of a job."""
-        self._tasks.extend(job.tasks)
-        self._queued_by_flow[_label(job)] += len(job.tasks)
+        tasks = _queued_tasks(job)
+        self._tasks.extend(tasks)
+        self._queued_by_flow[_label(job)] += len(tasks)
 
     def put_back(self, task: jobs.Task) -> None:
         """Queues a task again, as the first."""
@@ -395,6 +396,11 @@
         flow.credit += spare_ms * options.kind(flow.kind).weight / total
 
 
+def _queued_tasks(job: jobs.Job) -> list[jobs.Task]:
+    # Of a job rebuilt after a takeover, some tasks may have started already.
+    return [task for task in job.tasks if task.phase is jobs.Phase.QUEUED]
+
+
 def _label(job: jobs.Job) -> tuple[str, str]:
     return job.submission.team, job.submission.kind
 
--- a/packages/standins/src/sardineroute_standins/caller.py
+++ b/packages/standins/src/sardineroute_standins/caller.py
@@ -1,4 +1,4 @@
-"""Submits jobs as a caller does, over the public HTTP interface."""
+"""Calls entries as a caller does, and the stand-ins' own interfaces."""
 
 import dataclasses
 import json
@@ -6,6 +6,28 @@
 
 import urllib3
 
+TIMEOUT_S = 10.0
+
+
+class CallError(Exception):
+    """Raised for an answer other than 200."""
+
+
+class JsonClient:
+    """Calls the stand-ins' own interfaces."""
+
+    def __init__(self, http: urllib3.PoolManager) -> None:
+        self._http = http
+
+    def call(self, method: str, url: str, body: Any = None) -> Any:
+        """Sends JSON and returns the JSON of a 200 answer."""
+        response = self._http.request(
+            method, url, json=body, timeout=TIMEOUT_S, retries=False
+        )
+        if response.status != 200:
+            raise CallError(f"{method} {url}: {response.status}")
+        return response.json()
+
 
 @dataclasses.dataclass(frozen=True)
 class Outcome:
@@ -53,10 +75,22 @@
 
 
 def submit(
-    http: urllib3.PoolManager, url: str, token: str, job: Job
+    http: urllib3.PoolManager,
+    url: str,
+    token: str,
+    job: Job,
+    timeout_s: float = 0.0,
 ) -> Outcome:
     """Submits a job and waits for its outcome.
 
+    Args:
+        http: The connections.
+        url: The entry.
+        token: The team's bearer token.
+        job: The job.
+        timeout_s: Longest wait for a response; 0 for a little longer than
+            the job's own timeout.
+
     Raises:
         urllib3.exceptions.HTTPError: The connection broke or was refused.
     """
@@ -71,7 +105,7 @@
         f"{url}/v1/jobs",
         json=body,
         headers=headers,
-        timeout=job.timeout_ms / 1_000 + 5.0,
+        timeout=timeout_s or job.timeout_ms / 1_000 + 5.0,
         retries=False,
     )
     return outcome(response)
--- a/packages/standins/src/sardineroute_standins/layout.py
+++ b/packages/standins/src/sardineroute_standins/layout.py
@@ -39,6 +39,7 @@
         ownership: Partitions, leases and retention.
         drain_timeout_ms: Time for a graceful stop.
         log_level: Level of the daemon's own log lines.
+        tls: Certificate files of all processes, for HTTPS and TLS streams.
         traces: Whether each process writes its spans to a file.
     """
 
@@ -52,12 +53,13 @@
     connections: int = 64
     queue: int = 4
     task_timeout_ms: int = 30_000
-    http_threads: int = 96
+    http_threads: int = 16
     silence_ms: int = 1_000
     ownership: settings.Ownership = settings.Ownership()
     drain_timeout_ms: int = 60_000
     log_level: str = "info"
     traces: bool = False
+    tls: settings.Tls | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,9 +100,9 @@
     )
 
 
-def url(port: int) -> str:
+def url(port: int, scheme: str = "http") -> str:
     """Returns the URL of a loopback port."""
-    return f"http://{ports_module.LOOPBACK}:{port}"
+    return f"{scheme}://{ports_module.LOOPBACK}:{port}"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,6 +114,7 @@
         index: Its number in its role, from 0.
         log_url: Where it reaches the platform log.
         stream_port: Where its stream server listens.
+        advertised_port: Where peers reach its stream server.
         http_port: Where its HTTP server listens.
     """
 
@@ -119,6 +122,7 @@
     index: int
     log_url: str
     stream_port: int
+    advertised_port: int
     http_port: int
 
 
@@ -141,6 +145,7 @@
                 "http": settings.Http(
                     listen=address(member.http_port),
                     threads=self._options.http_threads,
+                    tls=self._options.tls,
                 ),
                 "teams": [_token(name, teams[name]) for name in teams],
                 "operators": [_token("operator", self._secrets.operator_token)],
@@ -179,8 +184,10 @@
             ),
             "streams": settings.Streams(
                 listen=address(member.stream_port),
+                advertise=address(member.advertised_port),
                 secret=self._secrets.stream_secret,
                 silence_ms=options.silence_ms,
+                tls=options.tls,
             ),
             "logging": {"level": options.log_level},
             "traces": self._traces(member),
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -33,7 +33,9 @@
         submission = jobs.Submission(
             team, key, b"", kind, (b"1",) * tasks, 60_000, ""
         )
-        return jobs.Job(submission, 60_000)
+        job = jobs.Job(submission, 60_000)
+        job.prove()
+        return job
 
     # A job holds a future, which needs a running loop.
     return _loop.run_until_complete(make())
