Make good the loss of a member: doubt ends with a copy, not with time

Traced with a directed run: the first entry of a fleet says that it may start jobs alone, and a doubt about one partition made its holder say the same of all; after its loss a third of the partitions stayed in doubt for 20 minutes, and the loss of any worker made all their jobs unknown. Any second loss of an entry within 20 minutes did so too. Change: an entry declares that it starts jobs alone only when it has to; doubt is declared for each partition; after a loss the survivors pass on what they know, and say so in their renewals, so that earlier losses no longer matter; a member that was superseded and not yet ended counts as lost; a holder that still lives answers for its jobs.

--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -88,19 +88,18 @@
     )
     owned.listeners.gained = lambda gains: home.gained(state, gains)
     owned.listeners.lost = lambda partitions: home.lost(state, partitions)
+    owned.doubtful = state.recovery.doubtful
     owned.listeners.witnessed = lambda marks: _remember(table, marks)
     return state
 
 
-async def clear_solo(state: entry_state.EntryState) -> None:
-    """Passes on, for ever, what no other member knows yet."""
+async def keep_copies(state: entry_state.EntryState) -> None:
+    """Passes on, for ever, what too few other members know."""
     period_ms = state.options.ownership.lease_ms // _SOLO_CHECKS_IN_LEASE
     while True:
         await asyncio.sleep(period_ms / 1_000)
-        if state.recovery.doubtful():
-            state.ownership.solo = True
-        else:
-            await state.desk.clear_solo()
+        await state.desk.clear_solo()
+        await state.desk.repair()
 
 
 async def _membership_end(log: platformlog.PlatformLog) -> int:
--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -154,8 +154,7 @@
             return
         if not owned.at_end or owned.leaving:
             return
-        owned.own.begin(ids.new_id())
-        owned.solo = not owned.others()
+        owned.begin_session(ids.new_id())
         self._number = 0
         terms = owned.terms(self._number)
         start = leaserecords.Start(owned.own.session, owned.member, terms)
@@ -163,8 +162,6 @@
 
     def _renew(self) -> None:
         owned = self._owned
-        if not owned.others() and not owned.solo:
-            owned.solo = True
         is_new = owned.solo and not owned.solo_declared
         period_ms = self._lease_ms // _RENEWALS_IN_LEASE
         if is_new:
--- a/packages/daemon/src/sardinerouted/entry/leasefold.py
+++ b/packages/daemon/src/sardinerouted/entry/leasefold.py
@@ -37,10 +37,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Holding:
-    """Who holds a partition; `epoch` is the offset of the claim."""
+    """Who holds a partition.
+
+    Attributes:
+        session: The holder's session.
+        epoch: The offset of the claim.
+        inherits_doubt: Whether jobs may have started under the holder before
+            that no other member knows.
+    """
 
     session: str
     epoch: int
+    inherits_doubt: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,10 +58,14 @@
     Attributes:
         incarnation: The holder's incarnation.
         solo: Whether it may have started jobs that no other member knows.
+        doubtful: Whether it may not have known all jobs itself.
+        repaired: Losses of members before this offset do not matter.
     """
 
     incarnation: str
     solo: bool
+    doubtful: bool = False
+    repaired: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,11 +136,22 @@
                 for session in self.sessions_by_id.values()
             ],
             "holdings": [
-                [partition, holding.session, holding.epoch]
+                [
+                    partition,
+                    holding.session,
+                    holding.epoch,
+                    holding.inherits_doubt,
+                ]
                 for partition, holding in self.holdings_by_partition.items()
             ],
             "previous": [
-                [partition, previous.incarnation, previous.solo]
+                [
+                    partition,
+                    previous.incarnation,
+                    previous.solo,
+                    previous.doubtful,
+                    previous.repaired,
+                ]
                 for partition, previous in self.previous_by_partition.items()
             ],
             "losses": [[loss.incarnation, loss.offset] for loss in self.losses],
@@ -173,8 +196,12 @@
                 self._end(session)
                 loss = Loss(session.member.incarnation, offset)
                 self.losses.append(loss)
-        holding = Holding(record.session, offset)
         for partition in record.partitions:
+            previous = self.previous_by_partition.get(partition)
+            doubt = previous is not None and (
+                previous.solo or previous.doubtful
+            )
+            holding = Holding(record.session, offset, doubt)
             self.holdings_by_partition.setdefault(partition, holding)
         return True
 
@@ -184,7 +211,9 @@
             return False
         for partition, epoch in record.holdings:
             holding = self.holdings_by_partition.get(partition)
-            if holding == Holding(session.id, epoch):
+            if holding is None or holding.session != session.id:
+                continue
+            if holding.epoch == epoch:
                 self._free(partition, session)
         return True
 
@@ -201,9 +230,16 @@
         del self.sessions_by_id[session.id]
 
     def _free(self, partition: int, session: Session) -> None:
-        del self.holdings_by_partition[partition]
+        holding = self.holdings_by_partition.pop(partition)
+        terms = session.terms
+        # Terms written before the holder read its claim don't speak of it.
+        is_unspoken = terms.seen <= holding.epoch
         self.previous_by_partition[partition] = Previous(
-            session.member.incarnation, session.terms.solo
+            session.member.incarnation,
+            terms.solo,
+            partition in terms.doubtful
+            or (holding.inherits_doubt and is_unspoken),
+            terms.repaired,
         )
 
 
@@ -232,11 +268,14 @@
             bool(item["superseded"]),
         )
         fold.sessions_by_id[session.id] = session
-    for partition, session_id, epoch in snapshot.state["holdings"]:
-        holding = Holding(str(session_id), int(epoch))
+    for partition, session_id, epoch, doubt in snapshot.state["holdings"]:
+        holding = Holding(str(session_id), int(epoch), bool(doubt))
         fold.holdings_by_partition[int(partition)] = holding
-    for partition, incarnation, solo in snapshot.state["previous"]:
-        previous = Previous(str(incarnation), bool(solo))
+    for item in snapshot.state["previous"]:
+        partition, incarnation, solo, doubtful, repaired = item
+        previous = Previous(
+            str(incarnation), bool(solo), bool(doubtful), int(repaired)
+        )
         fold.previous_by_partition[int(partition)] = previous
     for incarnation, offset in snapshot.state["losses"]:
         fold.losses.append(Loss(str(incarnation), int(offset)))
--- a/packages/daemon/src/sardinerouted/entry/leaserecords.py
+++ b/packages/daemon/src/sardinerouted/entry/leaserecords.py
@@ -32,6 +32,10 @@
         solo: Whether jobs may have started that no other member knows.
         leaving: Whether it takes no more partitions.
         number: Counts the renewals; a late one with a lower number is void.
+        doubtful: The partitions held whose jobs are not all known to the
+            holder.
+        repaired: Losses of members before this offset are made good: what
+            the lost ones knew of the holder's jobs, another member knows.
     """
 
     lease_ms: int
@@ -39,6 +43,8 @@
     solo: bool
     leaving: bool = False
     number: int = 0
+    doubtful: tuple[int, ...] = ()
+    repaired: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,6 +186,8 @@
         bool(data["solo"]),
         bool(data["leaving"]),
         int(data["number"]),
+        tuple(map(int, data["doubtful"])),
+        int(data["repaired"]),
     )
 
 
--- a/packages/daemon/src/sardinerouted/entry/leaving.py
+++ b/packages/daemon/src/sardinerouted/entry/leaving.py
@@ -27,6 +27,7 @@
     others = bool(owned.others_alive())
     if others:
         await state.desk.push(_COPIES)
+        await _declare_known(state, end_ms)
         await _drain(state, min(end_ms, state.clock.now_ms() + _DRAIN_MS))
         await state.desk.push(_COPIES)
     else:
@@ -39,6 +40,16 @@
         await asyncio.sleep(_POLL_MS / 1_000)
 
 
+async def _declare_known(state: entry_state.EntryState, end_ms: int) -> None:
+    """Has the log say that other members know our jobs, where that is new."""
+    end_ms = min(
+        end_ms, state.clock.now_ms() + state.options.ownership.lease_ms
+    )
+    while state.ownership.declares_solo and state.clock.now_ms() < end_ms:
+        await state.desk.clear_solo()
+        await asyncio.sleep(_POLL_MS / 1_000)
+
+
 async def _drain(state: entry_state.EntryState, end_ms: int) -> None:
     others = bool(state.ownership.others_alive())
     while state.clock.now_ms() < end_ms:
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -74,6 +74,9 @@
         leaving: Whether we take no more partitions.
         solo: Whether our next renewal says that we may start jobs that no
             other member knows.
+        doubtful: Returns the partitions held here whose jobs are not all
+            known.
+        repaired: Losses before this offset are made good.
         at_end: Whether the last read reached the end of the log.
         changed: Set when the next records have been read; then replaced.
         closing: Partitions that take no new jobs, to be given back.
@@ -94,6 +97,8 @@
         self.listeners = Listeners()
         self.leaving = False
         self.solo = False
+        self.doubtful: Callable[[], tuple[int, ...]] = tuple
+        self.repaired = 0
         self.at_end = False
         self.changed = asyncio.Event()
         self.closing: set[int] = set()
@@ -101,6 +106,8 @@
         self._held: dict[int, int] = {}
         self._given_back: set[tuple[int, int]] = set()
         self._loss_read_ms: dict[str, int] = {}
+        self._last_number = 0
+        self._solo_number = 0
 
     @property
     def fold(self) -> leasefold.Fold:
@@ -119,10 +126,33 @@
 
     @property
     def solo_declared(self) -> bool:
-        """Returns whether the log says that we may start jobs unwitnessed."""
+        """Returns whether the log says that we may start jobs unwitnessed.
+
+        A renewal sent before `declare_solo` does not count: a later one that
+        takes it back may be on its way.
+        """
+        session = self.fold.active(self.own.session)
+        if session is None or not self.solo or not session.terms.solo:
+            return False
+        return session.terms.number >= self._solo_number
+
+    @property
+    def declares_solo(self) -> bool:
+        """Returns whether the log has us start jobs unwitnessed."""
         session = self.fold.active(self.own.session)
         return session is not None and session.terms.solo
 
+    def declare_solo(self) -> None:
+        """Has the next renewal say that we may start jobs unwitnessed."""
+        if not self.solo:
+            self.solo = True
+            self._solo_number = self._last_number + 1
+
+    def begin_session(self, session: str) -> None:
+        """Starts a session afresh; its renewals count from 0 again."""
+        self.own.begin(session)
+        self._solo_number = 0
+
     @property
     def joined(self) -> bool:
         """Returns whether this entry has a session in the log."""
@@ -198,8 +228,15 @@
 
     def terms(self, number: int) -> leaserecords.Terms:
         """Returns the terms of the next start or renewal."""
+        self._last_number = number
         return leaserecords.Terms(
-            self.options.lease_ms, self.next, self.solo, self.leaving, number
+            lease_ms=self.options.lease_ms,
+            seen=self.next,
+            solo=self.solo,
+            leaving=self.leaving,
+            number=number,
+            doubtful=self.doubtful(),
+            repaired=self.repaired,
         )
 
     def promise(self, session_id: str, for_ms: int) -> bool:
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -57,7 +57,7 @@
             )
         ),
         asyncio.create_task(state.keeper.run()),
-        asyncio.create_task(assembly.clear_solo(state)),
+        asyncio.create_task(assembly.keep_copies(state)),
         asyncio.create_task(dispatch.watch_overdue(state.dispatcher)),
     ]
     httpd.start(
--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -49,6 +49,7 @@
         proven: Whether a job that nobody knows provably never started.
         keepers_by_job: Entries that can tell the outcome of a job.
         missing: Sessions that have not answered yet.
+        answered: Incarnations that have told what they know.
         doubted_ms: When the doubt began.
         members_end: The end of the membership stream at some time since the
             claim; -1 before it was read.
@@ -60,6 +61,7 @@
     proven: bool
     keepers_by_job: dict[str, leasefold.Session]
     missing: set[str]
+    answered: set[str]
     doubted_ms: int
     members_end: int = -1
 
@@ -109,6 +111,7 @@
                 proven=gain.previous is None,
                 keepers_by_job={},
                 missing=set(),
+                answered={self._owned.member.incarnation},
                 doubted_ms=self._clock.now_ms(),
             )
             self._partitions[gain.partition] = partition
@@ -236,6 +239,8 @@
         }
         if asking:
             await asyncio.wait(asking, timeout=_SURVEY_TIMEOUT_MS / 1_000)
+        else:
+            self._judge_all(partitions, 0)
         for partition in partitions.values():
             partition.settled.set()
         if asking:
@@ -274,24 +279,53 @@
                 partitions[number].keepers_by_job[job_id] = session
         for number, partition in partitions.items():
             partition.missing.discard(session.id)
+            partition.answered.add(answer.incarnation)
             if number in answer.doubtful:
                 partition.missing.add(f"doubt of {session.id}")
+        self._judge_all(partitions, answer.losses_before)
+
+    def _judge_all(
+        self, partitions: dict[int, _Partition], losses_before: int
+    ) -> None:
         for partition in partitions.values():
-            self._judge(partition, answer)
+            if not partition.missing and partition.previous is not None:
+                partition.proven = self._is_proven(
+                    partition, partition.previous, losses_before
+                )
 
-    def _judge(self, partition: _Partition, answer: messages.Surveyed) -> None:
-        if partition.missing or partition.previous is None:
-            return
+    def _is_proven(
+        self,
+        partition: _Partition,
+        previous: leasefold.Previous,
+        losses_before: int,
+    ) -> bool:
+        """Returns whether all jobs of the last holder are known by now.
+
+        It knows them itself, or one that was lost with it alone can't have
+        been the only other that knew them.
+        """
+        if previous.doubtful:
+            return False
+        if previous.incarnation in partition.answered:
+            return True
+        if previous.solo:
+            return False
         owned = self._owned
-        previous = partition.previous
-        if previous.solo and not owned.is_member(previous.incarnation):
-            return
-        old_before = max(
-            answer.losses_before, owned.old_losses_before(self._horizon_ms)
+        harmless_before = max(
+            losses_before,
+            previous.repaired,
+            owned.old_losses_before(self._horizon_ms),
         )
-        partition.proven = not any(
-            loss.offset >= old_before
-            and loss.incarnation != previous.incarnation
-            and not owned.is_member(loss.incarnation)
+        lost = {
+            loss.incarnation
             for loss in owned.fold.losses
-        )
+            if loss.offset >= harmless_before
+            and not owned.is_member(loss.incarnation)
+        }
+        # A superseded member is lost, though its session has not ended yet.
+        lost |= {
+            session.member.incarnation
+            for session in owned.fold.sessions_by_id.values()
+            if session.superseded
+        }
+        return lost <= {previous.incarnation}
--- a/packages/daemon/src/sardinerouted/entry/witness.py
+++ b/packages/daemon/src/sardinerouted/entry/witness.py
@@ -122,6 +122,8 @@
         while self._clock.now_ms() < end_ms:
             if self._is_alone():
                 return True
+            if not self._owned.others():
+                self._owned.declare_solo()
             if await asyncio.shield(self._send_with_others(mark)):
                 return True
             await asyncio.sleep(_ACK_TIMEOUT_MS / 1_000)
@@ -153,6 +155,18 @@
         finally:
             self._clearing = False
 
+    async def repair(self) -> None:
+        """Passes on what lost members may have known of our jobs."""
+        owned = self._owned
+        at = owned.next
+        losses = owned.fold.losses
+        if not losses or losses[-1].offset < owned.repaired:
+            return
+        if len(self._table) and not owned.others_alive():
+            return
+        if await self.push(copies=1):
+            owned.repaired = at
+
     def _is_alone(self) -> bool:
         owned = self._owned
         return not owned.others() and owned.solo_declared
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,42 @@
+"""Jobs known to a second entry: what a lost worker leaves in doubt."""
+
+import collections
+import time
+
+import conftest
+from sardineroute_core import settings
+from sardineroute_standins import caller
+from sardineroute_standins import fleet as fleet_module
+
+LEASE_MS = 1_000
+
+
+def _submit_many(
+    running: fleet_module.Fleet, label: str, count: int
+) -> collections.Counter[tuple[str, str]]:
+    token = running.secrets.team_tokens_by_name["anrc"]
+    urls = list(running.entry_urls_by_name.values())
+    outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
+    for index in range(count):
+        job = caller.Job(f"{label}-{index}", "receipt.issue", [1, 2])
+        outcome = caller.submit(
+            running.http, urls[index % len(urls)], token, job
+        )
+        outcomes[outcome.code, outcome.ran] += 1
+    return outcomes
+
+
+def test_fresh_jobs_run_after_an_entry_and_then_a_worker_are_lost(
+    fleet: conftest.FleetFactory,
+) -> None:
+    running = fleet(entries=3, ownership=settings.Ownership(lease_ms=LEASE_MS))
+    done = collections.Counter({("", ""): 30})
+    assert _submit_many(running, "before", 30) == done
+    running.kill("entry-2")
+    running.restart("entry-2")
+    time.sleep(3 * LEASE_MS / 1_000)
+    assert _submit_many(running, "entry-lost", 30) == done
+    running.kill("backend-1")
+    running.kill("sidecar-1")
+    time.sleep(LEASE_MS / 1_000)
+    assert _submit_many(running, "worker-lost", 30) == done
