--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -26,16 +26,18 @@
     return outcomes
 
 
-def test_fresh_jobs_run_after_an_entry_and_then_a_worker_are_lost(
+def test_fresh_jobs_run_after_two_entries_and_then_a_worker_are_lost(
     fleet: conftest.FleetFactory,
 ) -> None:
     running = fleet(entries=3, ownership=settings.Ownership(lease_ms=LEASE_MS))
     done = collections.Counter({("", ""): 30})
     assert _submit_many(running, "before", 30) == done
-    running.kill("entry-2")
-    running.restart("entry-2")
-    time.sleep(3 * LEASE_MS / 1_000)
-    assert _submit_many(running, "entry-lost", 30) == done
+    for name in ("entry-2", "entry-3"):
+        running.kill(name)
+        running.restart(name)
+        running.wait_ready(name)
+        time.sleep(3 * LEASE_MS / 1_000)
+        assert _submit_many(running, name, 30) == done
     running.kill("backend-1")
     running.kill("sidecar-1")
     time.sleep(LEASE_MS / 1_000)
