--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import dataclasses
+import functools
 import json
 import time
 import tracemalloc
@@ -21,6 +22,7 @@
 from sardineroute_standins import fleet as fleet_module
 from sardineroute_standins import layout
 from sardinerouted.entry import jobs
+from sardinerouted.entry import witness
 from sardinerouted.sidecar import guard
 
 LOAD_S = 8.0
@@ -166,7 +168,11 @@
 def measure_retention() -> None:
     """Memory of kept tasks and jobs, from the real classes."""
     say_memory("kept task at a sidecar", KEPT_TASKS, _fill_guard)
-    say_memory("kept job of 8 tasks at an entry", KEPT_JOBS, _fill_jobs)
+    answered = functools.partial(_fill_jobs, answered=True)
+    expired = functools.partial(_fill_jobs, answered=False)
+    say_memory("kept job of 8 answers at an entry", KEPT_JOBS, answered)
+    say_memory("kept job without its answers", KEPT_JOBS, expired)
+    say_memory("witnessed submission at an entry", KEPT_TASKS, _fill_marks)
 
 
 def say_memory(what: str, count: int, fill: Callable[[int], object]) -> None:
@@ -189,6 +195,7 @@
                 task_id=task_id,
                 partition=number % 64,
                 epoch=1,
+                attempt=1,
                 valid_until_ms=1 << 60,
                 digest=number.to_bytes(16, "big"),
                 kind="receipt.issue",
@@ -212,7 +219,15 @@
     return kept
 
 
-def _fill_jobs(count: int) -> object:
+def _fill_marks(count: int) -> object:
+    table = witness.Table(clock.Clock(), count + 1)
+    for number in range(count):
+        digest = number.to_bytes(16, "big")
+        table.remember(messages.JobMark(f"{number:032x}", digest, 600_000))
+    return table
+
+
+def _fill_jobs(count: int, answered: bool) -> object:
     async def fill() -> object:
         kept = []
         for number in range(count):
@@ -228,6 +243,9 @@
             job = jobs.Job(submission, 0)
             for index, task in enumerate(job.tasks):
                 job.answer(task, b'"%100d"' % (number + index))
+            job.settle()
+            if not answered:
+                job.expire()
             kept.append(job)
         return kept
 
--- a/lab/fakesidecars.py
+++ b/lab/fakesidecars.py
@@ -59,6 +59,9 @@
             elif isinstance(message, messages.Ping):
                 tick_ms = self._clock.now_ms()
                 connection.send(messages.Pong(message.id, tick_ms))
+            elif isinstance(message, messages.Want):
+                tick_ms = self._clock.now_ms()
+                connection.send(messages.Room(self._busy, 0, tick_ms))
 
     def _start(
         self, connection: streams.Connection, start: messages.Start
