Answer HEAD, impossible lengths and lost calls properly

Cause: HEAD got 405 with a body; a negative length left the body unread on a kept-alive connection; a call that ended with a connection error closed the caller's connection without an answer. Tests in test_front and test_web_server.

--- a/packages/daemon/src/sardinerouted/web/app.py
+++ b/packages/daemon/src/sardinerouted/web/app.py
@@ -53,7 +53,7 @@
             outcome = _wait(outcome)
         observe(outcome)
         start_response(outcome.status_line, outcome.all_headers())
-        return [outcome.body]
+        return [] if request.method == "HEAD" else [outcome.body]
 
     return app
 
@@ -75,8 +75,10 @@
     pending: routes.Pending, result: exchanges.Result
 ) -> responses.Response:
     def render() -> responses.Response:
-        if result.error is not None:
+        if isinstance(result.error, errors.Error):
             raise result.error
+        if result.error is not None:
+            raise RuntimeError("a call failed") from result.error
         return pending.render(result.value)
 
     return _guarded(render)
--- a/packages/daemon/src/sardinerouted/web/connection.py
+++ b/packages/daemon/src/sardinerouted/web/connection.py
@@ -71,16 +71,18 @@
         wfile.hold()
         try:
             self.send_headers()
-            self.write(response.body)
+            if self.method != b"HEAD":
+                self.write(response.body)
         finally:
             wfile.flush()
 
     def send_headers(self) -> None:
         """Writes the head of the response.
 
-        A chunked body is never read, so its connection can't be used again.
+        A chunked body, or one of an impossible length, is never read, so its
+        connection can't be used again.
         """
-        if self.chunked_read:
+        if self.chunked_read or getattr(self.rfile, "remaining", 0) < 0:
             self.close_connection = True
             self.conn.discards = True
         super().send_headers()
--- a/packages/daemon/src/sardinerouted/web/exchanges.py
+++ b/packages/daemon/src/sardinerouted/web/exchanges.py
@@ -65,18 +65,19 @@
         async with asyncio.timeout(wait_ms / 1_000):
             result = Result(await call)
     except TimeoutError:
-        result = Result(
-            error=errors.Error(
-                errors.Kind.OUTCOME_UNKNOWN,
-                "no outcome was known in time",
-                errors.Ran.UNKNOWN,
-            )
-        )
+        result = Result(error=_unknown("no outcome was known in time"))
     except Exception as error:  # noqa: BLE001 - it is answered elsewhere
         result = Result(error=error)
+    except asyncio.CancelledError:
+        finish(Result(error=_unknown("the call was canceled")))
+        raise
     finish(result)
 
 
+def _unknown(detail: str) -> errors.Error:
+    return errors.Error(errors.Kind.OUTCOME_UNKNOWN, detail, errors.Ran.UNKNOWN)
+
+
 class Exchange:
     """One request whose response is not known yet.
 
--- a/packages/daemon/src/sardinerouted/web/routes.py
+++ b/packages/daemon/src/sardinerouted/web/routes.py
@@ -70,6 +70,8 @@
             pattern = tuple(route.pattern[1:].split("/"))
             methods = self._handlers_by_pattern.setdefault(pattern, {})
             methods[route.method] = route.handle
+            if route.method == "GET":
+                methods["HEAD"] = route.handle
 
     def handle(self, request: requests.Request) -> responses.Response | Pending:
         """Returns what the handler of the request returns.
