--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -1,5 +1,6 @@
 """The HTTP server: the one of cherrypy, with deadlines and one error form."""
 
+import errno
 import queue
 import time
 from typing import Any
@@ -17,6 +18,7 @@
 from sardinerouted.web import tls
 
 _STOP_POLL_MS = 5
+_NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 _log = logs.part("http")
 
@@ -55,9 +57,21 @@
         """Stops watching for new connections."""
         self._selector.unregister(self.server.socket.fileno())
 
+    def _from_server_socket(self, server_socket: Any) -> Any:
+        try:
+            return super()._from_server_socket(server_socket)
+        except OSError as error:
+            if error.errno not in _NO_DESCRIPTOR:
+                raise
+            _log.warning("No file descriptor is left.", why=str(error))
+            self._close_oldest()
+            return None
+
     def _make_room(self) -> None:
-        if self._num_connections < self.server.options.max_connections:
-            return
+        if self._num_connections >= self.server.options.max_connections:
+            self._close_oldest()
+
+    def _close_oldest(self) -> None:
         # The selector keeps connections in the order they became idle.
         idle = [
             item
