--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -8,9 +8,12 @@
 
 import pytest
 import trustme
+import typer.testing
 import urllib3
 
+from sardineroute import main
 from sardineroute_core import clock
+from sardineroute_core import errors
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
@@ -65,6 +68,22 @@
     assert set(secured.executions().values()) == {1}
 
 
+def test_command_line_verifies_the_entry(secured: fleet_module.Fleet) -> None:
+    token = secured.secrets.team_tokens_by_name["anrc"]
+    tls = secured.options.tls
+    assert tls is not None
+    arguments = [
+        *("--url", secured.entry_urls_by_name["entry-1"], "--token", token),
+        *("job", "submit", "-", "--kind", "receipt.issue"),
+    ]
+    runner = typer.testing.CliRunner()
+    refused = runner.invoke(main.app, arguments, input="[1]")
+    assert refused.exit_code == errors.EXIT_REFUSED
+    assert "certificate verify failed" in refused.stderr
+    trusting = ["--authority", str(tls.authority), *arguments]
+    assert runner.invoke(main.app, trusting, input="[1]").exit_code == 0
+
+
 def test_silent_and_plain_callers_dont_hold_up_others(
     secured: fleet_module.Fleet,
 ) -> None:
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -22,6 +22,7 @@
 
 TIMEOUT_S = 10.0
 WAIT_S = 0.3
+BIG_BYTES = 64_000_000
 LISTEN = settings.Address.model_validate({"host": "127.0.0.1", "port": 0})
 
 Start = Callable[[options.Options], web_server.Server]
@@ -61,6 +62,9 @@
     def body(request: requests.Request) -> responses.Response:
         return responses.text(200, str(len(request.body())))
 
+    def big(_: requests.Request) -> responses.Response:
+        return responses.Response(200, responses.TEXT, b"x" * BIG_BYTES)
+
     def bug(_: requests.Request) -> responses.Response:
         raise RuntimeError("a bug")
 
@@ -71,6 +75,7 @@
             routes.Route("GET", "/overdue", overdue),
             routes.Route("GET", "/lost", lost),
             routes.Route("POST", "/body", body),
+            routes.Route("GET", "/big", big),
             routes.Route("GET", "/bug", bug),
         ]
     )
@@ -154,6 +159,19 @@
     assert after.receive() == (200, "3")
 
 
+def test_response_that_is_not_taken_is_given_up(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2, response_timeout_ms=300))
+    stuck = [Connection(server) for _ in range(2)]
+    for connection in stuck:
+        connection.get("/big")
+    after = Connection(server)
+    after.get("/now")
+    assert after.receive() == (200, "now")
+    status, body = stuck[0].receive()
+    assert status == 200
+    assert len(body) < BIG_BYTES
+
+
 def test_longest_idle_connection_makes_room(start: Start) -> None:
     server = start(options.Options(LISTEN, threads=2, max_connections=10))
     idle = [Connection(server) for _ in range(10)]
