Give up reading half-sent requests until more has come

Cause: 16 callers that send slowly held all 16 threads for up to 10 s.

Change: a request that isn't there within 10 ms goes back to the selector and is read again from its start; its deadline stays. An unread body of a refused request is no longer drained but its connection closed, after a short linger. A stopping server waits for half-sent requests too.

--- a/packages/daemon/src/sardinerouted/web/connection.py
+++ b/packages/daemon/src/sardinerouted/web/connection.py
@@ -79,10 +79,11 @@
     def send_headers(self) -> None:
         """Writes the head of the response.
 
-        A chunked body, or one of an impossible length, is never read, so its
-        connection can't be used again.
+        With an unread body that is chunked, of an impossible length or not
+        there yet, the connection can't be used again.
         """
-        if self.chunked_read or getattr(self.rfile, "remaining", 0) < 0:
+        unread = getattr(self.rfile, "remaining", 0)
+        if self.chunked_read or not 0 <= unread <= self.conn.rfile.available:
             self.close_connection = True
             self.conn.discards = True
         super().send_headers()
@@ -122,6 +123,7 @@
     Attributes:
         discards: Whether input is discarded before the connection is closed,
             so that a reset doesn't overtake the last response.
+        suspended: Whether a request has begun and not arrived in whole.
     """
 
     RequestHandlerClass = Request
@@ -134,6 +136,7 @@
         )
         self.wfile = sockets.Writer(connection, options.response_timeout_ms)
         self.discards = False
+        self.suspended = False
         self._parked: tuple[Request, exchanges.Exchange] | None = None
 
     @property
@@ -146,7 +149,14 @@
         if self._parked is not None:
             return self._finish(*self._parked)
         self.rfile.begin()
-        keep = super().communicate()
+        try:
+            keep = super().communicate()
+        except sockets.Incomplete:
+            self.suspended = True
+            return True
+        self.suspended = False
+        self.rfile.end()
+        self.wfile.begin()
         return keep or self.parked
 
     def park(self, request: Request, exchange: exchanges.Exchange) -> None:
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -2,7 +2,6 @@
 
 import errno
 import queue
-import time
 from typing import Any
 
 from cheroot import connections
@@ -46,6 +45,7 @@
 
         Only for a stopping server, whose selector loop has ended.
         """
+        self._expire(0.0)
         ready = []
         for descriptor, conn in self._selector.select(timeout_s):
             if conn is not self.server:
@@ -53,6 +53,18 @@
                 ready.append(conn)
         return ready
 
+    def _expire(self, threshold: float) -> None:
+        """Closes connections idle for too long, and ends overdue requests."""
+        super()._expire(threshold)
+        overdue = [
+            item
+            for item in self._selector.connections
+            if item[1] is not self.server and item[1].rfile.overdue
+        ]
+        for descriptor, conn in overdue:
+            self._selector.unregister(descriptor)
+            self.server.process_conn(conn)
+
     def forget_listener(self) -> None:
         """Stops watching for new connections."""
         self._selector.unregister(self.server.socket.fileno())
@@ -116,6 +128,7 @@
         self.requests._queue = waiting  # noqa: SLF001
         self.requests.get = waiting.get
         self._in_flight: set[connection.Connection] = set()
+        self._suspended: set[connection.Connection] = set()
         self._lingering = lingering.Lingering()
 
     @property
@@ -147,6 +160,7 @@
         if conn.last_used is None:
             self._connections.put(conn)
             return
+        self._suspended.discard(conn)
         self._in_flight.add(conn)
         self.requests.put(conn)
 
@@ -155,12 +169,18 @@
         if conn.parked:
             conn.release()
             return
+        if conn.suspended:
+            self._suspended.add(conn)
+            self._in_flight.discard(conn)
+            self._connections.put(conn)
+            return
         self._in_flight.discard(conn)
         super().put_conn(conn)
 
     def ended(self, conn: connection.Connection) -> None:
         """Hears that a connection is being closed."""
         self._in_flight.discard(conn)
+        self._suspended.discard(conn)
 
     def linger(self, conn: connection.Connection) -> bool:
         """Returns whether a connection will be closed later, politely."""
@@ -202,10 +222,13 @@
 
     def _await_in_flight(self) -> None:
         end_ms = self.clock.now_ms() + self.options.stop_timeout_ms
-        while self._in_flight and self.clock.now_ms() < end_ms:
-            time.sleep(_STOP_POLL_MS / 1_000)
-        if self._in_flight:
-            _log.warning("Requests are cut.", count=len(self._in_flight))
+        while self._unanswered() and self.clock.now_ms() < end_ms:
+            self._process(_STOP_POLL_MS)
+        if self._unanswered():
+            _log.warning("Requests are cut.", count=self._unanswered())
+
+    def _unanswered(self) -> int:
+        return len(self._in_flight) + len(self._suspended)
 
 
 def make(
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -140,6 +140,27 @@
         assert connection.receive() == (200, "now")
 
 
+def test_half_sent_requests_hold_no_thread(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2))
+    head = "POST /body HTTP/1.1\r\nContent-Length: 3000\r\n\r\n"
+    slow = [Connection(server) for _ in range(20)]
+    for number, connection in enumerate(slow):
+        connection.send((head + "x" * 2_990)[: 20 + number * 150])
+    quick = Connection(server)
+    began_s = time.monotonic()
+    quick.get("/now")
+    assert quick.receive() == (200, "now")
+    assert time.monotonic() - began_s < WAIT_S
+    for number, connection in enumerate(slow):
+        rest = (head + "x" * 3_000)[20 + number * 150 :]
+        for at in range(0, len(rest), 100):
+            connection.send(rest[at : at + 100])
+    for connection in slow:
+        assert connection.receive() == (200, "3000")
+        connection.get("/now")
+        assert connection.receive() == (200, "now")
+
+
 def test_slow_body_is_given_up_and_told(start: Start) -> None:
     server = start(options.Options(LISTEN, threads=2, request_timeout_ms=400))
     slow = [Connection(server) for _ in range(2)]
@@ -207,6 +228,8 @@
     waiting = [Connection(server) for _ in range(20)]
     for connection in waiting:
         connection.get("/later")
+    half_sent = Connection(server)
+    half_sent.send("POST /body HTTP/1.1\r\nContent-Length: 3\r\n\r\na")
     stopping = threading.Thread(target=server.stop)
     stopping.start()
     fresh = [Connection(server) for _ in range(10)]
@@ -215,6 +238,8 @@
     for connection in [*waiting, *idle, *fresh]:
         assert connection.receive() == (200, "now")
         assert connection.receive() == (0, "")
+    half_sent.send("bc")
+    assert half_sent.receive() == (200, "3")
     stopping.join()
     with pytest.raises(ConnectionRefusedError):
         Connection(server)
