--- /dev/null
+++ b/packages/core/src/sardineroute_core/configuration.py
@@ -0,0 +1,220 @@
+"""The configuration document: its schema versions, checks and decoders.
+
+A document has one section for each team. A section carries its own
+`schema_version`, so that teams move to a newer schema one at a time.
+"""
+
+import json
+import types
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Annotated
+from typing import Any
+from typing import Literal
+
+import pydantic
+import yaml
+
+from sardineroute_core import policy
+
+_Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+_Weight = Annotated[float, pydantic.Field(gt=0, le=1_000)]
+_Count = Annotated[int, pydantic.Field(ge=0, le=10_000_000)]
+_TimeoutMs = Annotated[int, pydantic.Field(ge=1, le=600_000)]
+_Dispatch = Annotated[
+    str, pydantic.Field(pattern=f"^({'|'.join(policy.DISPATCH_NAMES)})$")
+]
+
+
+class InvalidDocument(Exception):
+    """Raised for a document that can't be put in force; one line an error."""
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class _TeamV1(_Section):
+    schema_version: Literal[1]
+    weight: _Weight = 1.0
+    max_running_tasks: _Count = 0
+    max_queued_tasks: _Count = 40_000
+    max_waiting_callers: _Count = 48
+    kinds: list[_Name] = []
+
+
+class _TeamLimits(_Section):
+    running_tasks: _Count = 0
+    queued_tasks: _Count = 40_000
+    waiting_callers: _Count = 48
+
+
+class _KindLimits(_Section):
+    queued_tasks: _Count = 20_000
+    waiting_callers: _Count = 32
+
+
+class _Kind(_Section):
+    weight: _Weight = 1.0
+    urgency: Annotated[int, pydantic.Field(ge=-100, le=100)] = 0
+    limits: _KindLimits = _KindLimits()
+    timeout_ms: _TimeoutMs = 30_000
+
+
+class _TeamV2(_Section):
+    schema_version: Literal[2]
+    weight: _Weight = 1.0
+    limits: _TeamLimits = _TeamLimits()
+    kinds: dict[_Name, _Kind] = {}
+
+
+class _Document(_Section):
+    dispatch: _Dispatch = "fastest"
+    max_task_timeout_ms: Annotated[int, pydantic.Field(ge=0)] = 0
+    teams: dict[_Name, dict[str, Any]] = {}
+
+
+def _decode_v1(section: Any) -> policy.TeamPolicy:
+    team = _TeamV1.model_validate(section)
+    kinds_by_name = {name: policy.KindPolicy() for name in team.kinds}
+    return policy.TeamPolicy(
+        schema_version=1,
+        weight=team.weight,
+        max_running_tasks=team.max_running_tasks,
+        max_queued_tasks=team.max_queued_tasks,
+        max_waiting_callers=team.max_waiting_callers,
+        kinds_by_name=types.MappingProxyType(kinds_by_name),
+    )
+
+
+def _decode_v2(section: Any) -> policy.TeamPolicy:
+    team = _TeamV2.model_validate(section)
+    kinds_by_name = {
+        name: policy.KindPolicy(
+            weight=kind.weight,
+            urgency=kind.urgency,
+            max_queued_tasks=kind.limits.queued_tasks,
+            max_waiting_callers=kind.limits.waiting_callers,
+            timeout_ms=kind.timeout_ms,
+        )
+        for name, kind in team.kinds.items()
+    }
+    return policy.TeamPolicy(
+        schema_version=2,
+        weight=team.weight,
+        max_running_tasks=team.limits.running_tasks,
+        max_queued_tasks=team.limits.queued_tasks,
+        max_waiting_callers=team.limits.waiting_callers,
+        kinds_by_name=types.MappingProxyType(kinds_by_name),
+    )
+
+
+_DECODERS_BY_VERSION: Mapping[int, Callable[[Any], policy.TeamPolicy]] = (
+    types.MappingProxyType({1: _decode_v1, 2: _decode_v2})
+)
+SCHEMA_VERSIONS = tuple(_DECODERS_BY_VERSION)
+
+
+class _Loader(yaml.SafeLoader):
+    """Reads YAML without aliases, which can make a small text huge."""
+
+    def compose_node(self, parent: Any, index: int) -> Any:
+        if self.check_event(yaml.AliasEvent):
+            raise yaml.YAMLError("aliases are not allowed")
+        return super().compose_node(parent, index)
+
+
+def parse(body: bytes) -> Any:
+    """Returns the document that a body holds, in YAML or JSON.
+
+    Raises:
+        InvalidDocument: It is neither.
+    """
+    try:
+        document = yaml.load(body.decode(), _Loader)  # noqa: S506
+        # What the log keeps must be JSON; YAML can hold dates and the like.
+        return json.loads(json.dumps(document, allow_nan=False))
+    except (ValueError, TypeError, RecursionError, yaml.YAMLError) as error:
+        raise InvalidDocument(f"neither YAML nor JSON: {error}") from error
+
+
+def decode(version: int, document: Any) -> policy.Policy:
+    """Returns the policy that a document describes.
+
+    Raises:
+        InvalidDocument: Names each key, what was found and what is allowed.
+    """
+    try:
+        parsed = _Document.model_validate(document)
+    except pydantic.ValidationError as error:
+        raise InvalidDocument(_explain("", error)) from error
+    problems: list[str] = []
+    teams_by_name: dict[str, policy.TeamPolicy] = {}
+    for name, section in parsed.teams.items():
+        try:
+            teams_by_name[name] = _decode_team(name, section)
+        except InvalidDocument as error:
+            problems.append(str(error))
+    if problems:
+        raise InvalidDocument("\n".join(problems))
+    return policy.Policy(
+        version=version,
+        dispatch=parsed.dispatch,
+        max_task_timeout_ms=parsed.max_task_timeout_ms,
+        teams_by_name=types.MappingProxyType(teams_by_name),
+    )
+
+
+def schema_versions(document: Any) -> tuple[int, ...]:
+    """Returns the schema versions that a valid document uses, sorted."""
+    sections = document.get("teams", {}).values()
+    return tuple(sorted({section["schema_version"] for section in sections}))
+
+
+def summarize(before: Any, after: Any) -> str:
+    """Returns one line on what differs between two valid documents."""
+    old = before.get("teams", {})
+    new = after.get("teams", {})
+    changed = [name for name in new if name in old and new[name] != old[name]]
+    parts = [
+        _names("teams added", [name for name in new if name not in old]),
+        _names("teams changed", changed),
+        _names("teams removed", [name for name in old if name not in new]),
+        _names("settings changed", _other_keys(before, after)),
+    ]
+    return "; ".join(part for part in parts if part) or "no difference"
+
+
+def _decode_team(name: str, section: Any) -> policy.TeamPolicy:
+    version = section.get("schema_version")
+    decoder = None
+    if type(version) is int:
+        decoder = _DECODERS_BY_VERSION.get(version)
+    if decoder is None:
+        allowed = ", ".join(str(known) for known in SCHEMA_VERSIONS)
+        raise InvalidDocument(
+            f"teams.{name}.schema_version: found {version!r}; "
+            f"allowed: {allowed}"
+        )
+    try:
+        return decoder(section)
+    except pydantic.ValidationError as error:
+        raise InvalidDocument(_explain(f"teams.{name}.", error)) from error
+
+
+def _explain(prefix: str, error: pydantic.ValidationError) -> str:
+    lines = []
+    for item in error.errors():
+        key = ".".join(str(part) for part in item["loc"])
+        found = repr(item["input"])[:200]
+        lines.append(f"{prefix}{key}: found {found}; {item['msg']}")
+    return "\n".join(lines)
+
+
+def _other_keys(before: Any, after: Any) -> list[str]:
+    keys = sorted({*before, *after} - {"teams"})
+    return [key for key in keys if before.get(key) != after.get(key)]
+
+
+def _names(label: str, names: list[str]) -> str:
+    return f"{label}: {', '.join(sorted(names))}" if names else ""
--- a/packages/core/src/sardineroute_core/errors.py
+++ b/packages/core/src/sardineroute_core/errors.py
@@ -101,6 +101,7 @@
         detail: A sentence for people.
         ran: What is known about the tasks concerned.
         retry_after_ms: When a retry is worth trying; 0 where nothing is known.
+        version: The version in force, where that is the matter.
     """
 
     def __init__(
@@ -109,9 +110,11 @@
         detail: str,
         ran: Ran = Ran.NO,
         retry_after_ms: int = 0,
+        version: int | None = None,
     ) -> None:
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
         self.ran = ran
         self.retry_after_ms = retry_after_ms
+        self.version = version
--- a/packages/core/src/sardineroute_core/messages.py
+++ b/packages/core/src/sardineroute_core/messages.py
@@ -219,6 +219,71 @@
     tick_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Describe:
+    """A sidecar's first message on a stream: what it announces.
+
+    It holds what may have changed with the sidecar's incarnation, so that an
+    entry can use a restarted sidecar while the log is down.
+    """
+
+    failure_domain: str
+    region: str
+    kinds: tuple[str, ...]
+    slots: int
+    queue: int
+    configuration_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configure:
+    """Tells a sidecar what it needs of the configuration in force."""
+
+    version: int
+    max_task_timeout_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configured:
+    """Says which version a sidecar now has in force; answers `Configure`."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateRequest:
+    """Asks an entry for its configuration and, if wanted, the members.
+
+    The answer leaves out a configuration no newer than `known_version`.
+    """
+
+    id: int
+    known_version: int
+    wants_members: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateReply:
+    """Answers `StateRequest`.
+
+    `version` is in force at the sender. `snapshot` is the JSON of a record
+    of the configuration stream, empty where it was not wanted. `members` are
+    the JSON of announcements.
+    """
+
+    id: int
+    version: int
+    snapshot: bytes
+    members: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """Asks a process to leave gracefully; it answers `Leaving`."""
+
+    who: str
+
+
 _CLASSES_BY_CODE: dict[int, type[Any]] = {
     1: Challenge,
     2: Hello,
@@ -235,6 +300,12 @@
     21: Lookup,
     22: Cancel,
     23: Outcome,
+    40: Describe,
+    41: Configure,
+    42: Configured,
+    43: StateRequest,
+    44: StateReply,
+    45: Drain,
 }
 _CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
 _FIELDS_BY_CLASS = {
--- a/packages/core/src/sardineroute_core/metrics.py
+++ b/packages/core/src/sardineroute_core/metrics.py
@@ -12,6 +12,14 @@
     "Bytes of the messages sent to the daemon's other processes.",
     ["type"],
 )
+_CONFIGURATION_VERSION = prometheus_client.Gauge(
+    "sardineroute_configuration_version",
+    "Version of the configuration in force in this process.",
+)
+_CONFIGURATION_UNREADABLE = prometheus_client.Gauge(
+    "sardineroute_configuration_unreadable",
+    "1 while a newer version was published that this process can't read.",
+)
 _children_by_label: dict[tuple[str, str], prometheus_client.Counter] = {}
 _bytes_by_type: dict[str, prometheus_client.Counter] = {}
 
@@ -28,6 +36,12 @@
         _count_bytes(name, size_bytes)
 
 
+def set_configuration(version: int, unreadable: bool) -> None:
+    """Sets which version is in force, and whether a newer can't be read."""
+    _CONFIGURATION_VERSION.set(version)
+    _CONFIGURATION_UNREADABLE.set(int(unreadable))
+
+
 def exposition() -> bytes:
     """Returns all metrics in the Prometheus text format."""
     return prometheus_client.generate_latest()
--- a/packages/core/src/sardineroute_core/platformlog.py
+++ b/packages/core/src/sardineroute_core/platformlog.py
@@ -25,7 +25,10 @@
 
 
 class AppendUnknown(Exception):
-    """Raised when an append may or may not have taken effect."""
+    """Raised when an append may or may not have taken effect.
+
+    Also for a status of 500 and above: the log may have failed afterwards.
+    """
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,9 +61,7 @@
     def __init__(self, options: settings.Log) -> None:
         self._url = options.url.rstrip("/")
         self._timeout_ms = options.timeout_ms
-        self._pool = urllib3.PoolManager(
-            maxsize=_THREADS, retries=False, block=False
-        )
+        self._pool = _new_pool()
         self._executor = concurrent.futures.ThreadPoolExecutor(
             _THREADS, thread_name_prefix="log"
         )
@@ -100,11 +101,10 @@
                 json={"id": record_id, "data": data},
                 timeout=self._timeout_ms / 1_000,
             )
+            return _appended_offset(response)
         except urllib3.exceptions.HTTPError as error:
+            self._renew_pool()
             _raise_append_error(error)
-        if response.status != 200:
-            raise LogUnavailable(f"the log answered {response.status}")
-        return int(response.json()["offset"])
 
     def _read(self, stream: str, offset: int, wait_ms: int) -> Batch:
         try:
@@ -121,9 +121,20 @@
             if response.status != 200:
                 raise LogUnavailable(f"the log answered {response.status}")
             return _batch(response.json())
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
+            self._renew_pool()
             raise LogUnavailable(str(error)) from error
 
+    def _renew_pool(self) -> None:
+        # Idle connections may have gone silent together with the one that
+        # failed; calls in flight keep theirs.
+        self._pool = _new_pool()
+
 
 async def follow(
     log: PlatformLog,
@@ -155,6 +166,23 @@
         await handle(batch)
 
 
+def _new_pool() -> urllib3.PoolManager:
+    return urllib3.PoolManager(maxsize=_THREADS, retries=False, block=False)
+
+
+def _appended_offset(response: urllib3.BaseHTTPResponse) -> int:
+    if response.status == 200:
+        try:
+            return int(response.json()["offset"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise AppendUnknown(f"malformed answer: {error!r}") from error
+    detail = f"the log answered {response.status}"
+    if response.status >= 500:
+        # A server that fails may have taken the record before.
+        raise AppendUnknown(detail)
+    raise LogUnavailable(detail)
+
+
 def _raise_append_error(error: urllib3.exceptions.HTTPError) -> NoReturn:
     refused = (
         urllib3.exceptions.NewConnectionError,
--- a/packages/core/src/sardineroute_core/policy.py
+++ b/packages/core/src/sardineroute_core/policy.py
@@ -4,6 +4,8 @@
 import types
 from collections.abc import Mapping
 
+DISPATCH_NAMES = ("fastest", "least_outstanding", "round_robin", "random")
+
 
 @dataclasses.dataclass(frozen=True)
 class KindPolicy:
@@ -63,12 +65,15 @@
 
     Attributes:
         version: Grows by one with each accepted change; 0 before the first.
-        dispatch: Name of the dispatch policy.
+        dispatch: Name of the dispatch policy, one of `DISPATCH_NAMES`.
+        max_task_timeout_ms: Bound on the timeout of any task; 0 for none
+            but that of the sidecar's settings.
         teams_by_name: The teams that have a section.
     """
 
     version: int = 0
     dispatch: str = "fastest"
+    max_task_timeout_ms: int = 0
     teams_by_name: Mapping[str, TeamPolicy] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -4,6 +4,7 @@
 from typing import Annotated
 from typing import Any
 from typing import Literal
+from typing import Self
 
 import pydantic
 import yaml
@@ -42,10 +43,11 @@
 
 
 class Log(_Section):
-    """The platform's log service."""
+    """The platform's log service; it keeps records for `retention_ms`."""
 
     url: str
     timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 1_000
+    retention_ms: Annotated[int, pydantic.Field(ge=1_000)] = 3_600_000
 
 
 class Logging(_Section):
@@ -102,6 +104,16 @@
     retention_ms: Annotated[int, pydantic.Field(ge=1_000)] = 600_000
 
 
+class Membership(_Section):
+    """How long an announcement counts that is not renewed.
+
+    It must be well below the log's retention, so that a process which reads
+    the stream from its start finds everybody.
+    """
+
+    valid_ms: Annotated[int, pydantic.Field(ge=300)] = 2_700_000
+
+
 class BackendServer(_Section):
     """The backend server beside a sidecar."""
 
@@ -122,14 +134,31 @@
     logging: Logging = Logging()
     traces: Traces = Traces()
     ownership: Ownership = Ownership()
+    membership: Membership = Membership()
     drain_timeout_ms: Annotated[int, pydantic.Field(ge=0)] = 60_000
 
+    @pydantic.model_validator(mode="after")
+    def _check_validity(self) -> Self:
+        longest_ms = self.log.retention_ms * 3 // 4
+        if self.membership.valid_ms > longest_ms:
+            raise ValueError(
+                f"membership.valid_ms: found {self.membership.valid_ms}; up "
+                f"to three quarters of log.retention_ms, {longest_ms}, are "
+                "allowed"
+            )
+        return self
+
 
 class Entry(_Process):
-    """Settings of `sardinerouted entry`."""
+    """Settings of `sardinerouted entry`.
+
+    `peers` are stream addresses of other entries, asked for the configuration
+    and the members while the log can't be read.
+    """
 
     role: Literal["entry"]
     http: Http
+    peers: list[Address] = []
     teams: Annotated[list[Token], pydantic.Field(min_length=1)]
     operators: list[Token] = []
 
--- a/packages/core/src/sardineroute_core/streams.py
+++ b/packages/core/src/sardineroute_core/streams.py
@@ -104,6 +104,8 @@
     async def drained(self) -> None:
         """Waits until what was sent has left this process."""
         self._flush()
+        # Without a limit, draining waits for an empty buffer.
+        self._writer.transport.set_write_buffer_limits(high=0)
         with contextlib.suppress(OSError):
             await self._writer.drain()
 
--- a/packages/daemon/src/sardinerouted/entry/backends.py
+++ b/packages/daemon/src/sardinerouted/entry/backends.py
@@ -26,6 +26,11 @@
         tasks_by_id: Our tasks there that have not ended.
         others: Tasks of other entries there, by the last report.
         leaving: Whether it takes no new work.
+        departed: Whether it has left, or its announcement has lapsed.
+        configuration_version: The version in force there; -1 for unknown.
+        configure_sent_ms: When it was told of a newer version and has not
+            yet answered; 0 for never.
+        lost_ms: When its stream was lost; 0 while it is open.
     """
 
     def __init__(
@@ -38,6 +43,10 @@
         self.tasks_by_id: dict[str, jobs.Task] = {}
         self.others = 0
         self.leaving = False
+        self.departed = False
+        self.configuration_version = -1
+        self.configure_sent_ms = 0
+        self.lost_ms = time.now_ms()
         self.tick: Tick | None = None
 
     @property
@@ -48,7 +57,11 @@
     @property
     def usable(self) -> bool:
         """Returns whether new work may be sent there."""
-        return self.connection is not None and not self.leaving
+        return (
+            self.connection is not None
+            and not self.leaving
+            and not self.departed
+        )
 
     def has_room(self) -> bool:
         """Returns whether one more task is likely to be accepted."""
@@ -60,11 +73,33 @@
         self.connection = connection
         self.leaving = False
         self.others = 0
+        self.lost_ms = 0
+        self.configure_sent_ms = 0
         self.observe_tick(connection.peer_tick_ms)
 
     def disconnected(self) -> None:
         """Gives up the stream; tasks there are in doubt until asked after."""
         self.connection = None
+        self.lost_ms = self._clock.now_ms()
+        self.configuration_version = -1
+
+    def describe(self, told: messages.Describe, incarnation: str) -> None:
+        """Takes what the sidecar itself tells; it may have restarted."""
+        self.observe_configuration(told.configuration_version)
+        self.announcement = dataclasses.replace(
+            self.announcement,
+            incarnation=incarnation,
+            failure_domain=told.failure_domain,
+            region=told.region,
+            kinds=told.kinds,
+            slots=told.slots,
+            queue=told.queue,
+        )
+
+    def observe_configuration(self, version: int) -> None:
+        """Remembers the version in force at the sidecar."""
+        self.configuration_version = version
+        self.configure_sent_ms = 0
 
     def observe_tick(self, tick_ms: int) -> None:
         """Remembers the sidecar's time as of now."""
--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -9,13 +9,24 @@
 from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
 from sardinerouted.entry import queries
+from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
 
 
-async def answer(
+async def answer(state: entry_state.EntryState, request: Any) -> Any:
+    """Returns the answer to a peer's call; errors travel as outcomes."""
+    if isinstance(request, messages.StateRequest):
+        return seeds.reply(state, request)
+    if isinstance(request, messages.Drain):
+        state.stopping.set()
+        return messages.Leaving(f"asked by {request.who}")
+    with state.requests.call():
+        return await _outcome(state, request)
+
+
+async def _outcome(
     state: entry_state.EntryState, request: Any
 ) -> messages.Outcome:
-    """Returns the answer to a peer's call; errors travel as outcomes."""
     try:
         outcome = await _execute(state, request)
     except errors.Error as error:
--- a/packages/daemon/src/sardinerouted/entry/front.py
+++ b/packages/daemon/src/sardinerouted/entry/front.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 
@@ -20,6 +21,7 @@
 from sardineroute_core import metrics
 from sardineroute_core import settings
 from sardinerouted import httpd
+from sardinerouted.entry import admin_http
 from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
 from sardinerouted.entry import queries
@@ -30,6 +32,8 @@
 _ANSWER_MARGIN_MS = 5_000
 _KEY = re.compile(r"[\x21-\x7e]{1,128}")
 
+_T = TypeVar("_T")
+
 _log = logs.part("http")
 
 
@@ -68,6 +72,8 @@
             ("Content-Length", str(len(response.body))),
             *response.headers,
         ]
+        if state.draining:
+            headers.append(("Connection", "close"))
         start_response(f"{response.status} {phrase}", headers)
         return [response.body]
 
@@ -102,12 +108,9 @@
     def _route(self, environ: dict[str, Any]) -> Response:
         method = environ["REQUEST_METHOD"]
         path = environ["PATH_INFO"]
-        if path == "/v1/jobs":
-            _allow(method, "POST")
-            return self._submit(environ)
-        if path.startswith("/v1/jobs/"):
-            _allow(method, "GET", "DELETE")
-            return self._job(environ, path.removeprefix("/v1/jobs/"))
+        if path.startswith("/v1/"):
+            with self._state.requests.call():
+                return self._route_call(environ, method, path)
         _allow(method, "GET")
         if path == "/livez":
             return _text(200, "ok\n")
@@ -119,6 +122,19 @@
             )
         raise errors.Error(errors.Kind.NOT_FOUND, f"no such path: {path}")
 
+    def _route_call(
+        self, environ: dict[str, Any], method: str, path: str
+    ) -> Response:
+        if path == "/v1/jobs":
+            _allow(method, "POST")
+            return self._submit(environ)
+        if path.startswith("/v1/jobs/"):
+            _allow(method, "GET", "DELETE")
+            return self._job(environ, path.removeprefix("/v1/jobs/"))
+        if admin_http.handles(path):
+            return self._administer(environ)
+        raise errors.Error(errors.Kind.NOT_FOUND, f"no such path: {path}")
+
     def _submit(self, environ: dict[str, Any]) -> Response:
         team = self._team(environ)
         key = _checked_key(environ.get("HTTP_IDEMPOTENCY_KEY", ""))
@@ -144,15 +160,34 @@
         return _outcome_response(outcome)
 
     def _readyz(self) -> Response:
-        if queries.is_ready(self._state):
-            return _text(200, "ok\n")
-        return _text(503, "not ready\n")
+        reason = queries.unready_reason(self._state)
+        if not reason:
+            return _text(200, f"ok\n{self._state.configuration.unreadable}")
+        return _text(503, f"not ready: {reason}\n")
+
+    def _administer(self, environ: dict[str, Any]) -> Response:
+        request = admin_http.Request(
+            operator=self._operator(environ),
+            method=environ["REQUEST_METHOD"],
+            path=environ["PATH_INFO"],
+            if_match=environ.get("HTTP_IF_MATCH", ""),
+            body=_read_optional_body(environ, admin_http.MAX_BODY_BYTES),
+        )
+        reply = self._await(
+            admin_http.respond(self._state, request), admin_http.TIMEOUT_MS
+        )
+        return Response(
+            reply.status,
+            "application/json",
+            reply.body,
+            _entity_tag(reply.version),
+        )
 
     def _await(
         self,
-        call: Coroutine[Any, Any, messages.Outcome],
+        call: Coroutine[Any, Any, _T],
         wait_ms: int,
-    ) -> messages.Outcome:
+    ) -> _T:
         future = asyncio.run_coroutine_threadsafe(call, self._loop)
         try:
             return future.result(wait_ms / 1_000)
@@ -175,6 +210,18 @@
             errors.Kind.UNAUTHORIZED, "a team's bearer token is required"
         )
 
+    def _operator(self, environ: dict[str, Any]) -> str:
+        name = _authenticated(environ, self._operators_by_hash)
+        if name is not None:
+            return name
+        if _authenticated(environ, self._teams_by_hash) is not None:
+            raise errors.Error(
+                errors.Kind.FORBIDDEN, "a team's token can't administer"
+            )
+        raise errors.Error(
+            errors.Kind.UNAUTHORIZED, "an operator's bearer token is required"
+        )
+
 
 def _names_by_hash(tokens: list[settings.Token]) -> dict[str, str]:
     return {token.sha256: token.name for token in tokens}
@@ -228,6 +275,16 @@
     return body
 
 
+def _read_optional_body(environ: dict[str, Any], limit_bytes: int) -> bytes:
+    if not environ.get("CONTENT_LENGTH"):
+        return b""
+    return _read_body(environ, limit_bytes)
+
+
+def _entity_tag(version: int | None) -> tuple[tuple[str, str], ...]:
+    return () if version is None else (("ETag", f'"{version}"'),)
+
+
 def _parse_submission(
     team: str, key: str, body: bytes, traceparent: str
 ) -> jobs.Submission:
@@ -288,10 +345,10 @@
     }
     if job_id:
         document["job"] = job_id
-    headers: tuple[tuple[str, str], ...] = ()
+    headers = _entity_tag(error.version)
     if error.retry_after_ms:
         seconds = -(-error.retry_after_ms // 1_000)
-        headers = (("Retry-After", str(seconds)),)
+        headers += (("Retry-After", str(seconds)),)
     body = json.dumps(document).encode()
     return Response(status, "application/problem+json", body, headers)
 
--- a/packages/daemon/src/sardinerouted/entry/links.py
+++ b/packages/daemon/src/sardinerouted/entry/links.py
@@ -92,6 +92,7 @@
         _log.warning("A stream was lost.", worker=server.id, why=str(error))
     finally:
         server.disconnected()
+        connection.abort()
 
 
 def _ask_after_tasks(
@@ -116,4 +117,27 @@
     elif isinstance(message, messages.Pong):
         server.observe_tick(message.tick_ms)
     elif isinstance(message, messages.Leaving):
-        server.leaving = True
+        _acknowledge_leaving(server, message)
+    elif isinstance(message, messages.Describe):
+        _describe(server, dispatcher, message)
+    elif isinstance(message, messages.Configured):
+        server.observe_configuration(message.version)
+
+
+def _acknowledge_leaving(
+    server: backends.BackendServer, message: messages.Leaving
+) -> None:
+    # The sidecar waits for this: no start follows it on this stream.
+    server.leaving = True
+    if server.connection is not None:
+        server.connection.send(message)
+
+
+def _describe(
+    server: backends.BackendServer,
+    dispatcher: dispatch.Dispatcher,
+    message: messages.Describe,
+) -> None:
+    if server.connection is not None:
+        server.describe(message, server.connection.peer.incarnation)
+        dispatcher.pump()
--- a/packages/daemon/src/sardinerouted/entry/peers.py
+++ b/packages/daemon/src/sardinerouted/entry/peers.py
@@ -114,7 +114,7 @@
 async def serve_peer(
     connection: streams.Connection,
     time: clock.Clock,
-    execute: Callable[[Any], Awaitable[messages.Outcome]],
+    execute: Callable[[Any], Awaitable[Any]],
 ) -> None:
     """Answers one peer's calls until its stream is closed.
 
@@ -130,7 +130,12 @@
         if isinstance(message, messages.Ping):
             connection.send(messages.Pong(message.id, time.now_ms()))
         elif isinstance(
-            message, messages.Submit | messages.Lookup | messages.Cancel
+            message,
+            messages.Submit
+            | messages.Lookup
+            | messages.Cancel
+            | messages.StateRequest
+            | messages.Drain,
         ):
             call = asyncio.create_task(answer(message))
             calls.add(call)
--- a/packages/daemon/src/sardinerouted/entry/queries.py
+++ b/packages/daemon/src/sardinerouted/entry/queries.py
@@ -43,8 +43,12 @@
     return show_here(state, team, key)
 
 
-def is_ready(state: entry_state.EntryState) -> bool:
-    """Returns whether this entry takes requests."""
-    return not state.draining and (
-        state.identity.id in state.ownership.entries_by_id
-    )
+def unready_reason(state: entry_state.EntryState) -> str:
+    """Returns why this entry takes no requests; empty when it does."""
+    if state.draining:
+        return "draining"
+    if not state.configuration.known:
+        return "which configuration is in force is not yet known"
+    if not state.ownership.entries_by_id:
+        return "no entry is known"
+    return ""
--- a/packages/daemon/src/sardinerouted/membership.py
+++ b/packages/daemon/src/sardinerouted/membership.py
@@ -2,24 +2,31 @@
 
 import asyncio
 import dataclasses
+import random
 from typing import Any
 
+from sardineroute_core import configuration
 from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import platformlog
 
 STREAM = "membership"
-_RETRY_MS = 200
+_RETRY_MIN_MS = 200
+_RETRY_MAX_MS = 2_000
+_RENEWALS_PER_VALIDITY = 3
+DEFAULT_VALID_MS = 2_700_000
 
 _log = logs.part("membership")
 
 
 @dataclasses.dataclass(frozen=True)
 class Announcement:
-    """What a process tells of itself when it starts.
+    """What a process tells of itself when it starts, and from time to time.
 
-    `kinds`, `slots` and `queue` are those of a sidecar's backend server.
+    It lapses when it has not been renewed within `valid_ms`. `kinds`,
+    `slots` and `queue` are those of a sidecar's backend server;
+    `schema_versions` are those of the configuration that it can read.
     """
 
     id: str
@@ -32,6 +39,8 @@
     kinds: tuple[str, ...] = ()
     slots: int = 0
     queue: int = 0
+    valid_ms: int = DEFAULT_VALID_MS
+    schema_versions: tuple[int, ...] = configuration.SCHEMA_VERSIONS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +86,8 @@
             kinds=tuple(str(kind) for kind in data["kinds"]),
             slots=int(data["slots"]),
             queue=int(data["queue"]),
+            valid_ms=int(data["valid_ms"]),
+            schema_versions=tuple(int(v) for v in data["schema_versions"]),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise UnreadableRecord(repr(error)) from error
@@ -91,10 +102,30 @@
     the same.
     """
     record_id = ids.new_id()
+    retry_ms = _RETRY_MIN_MS
     while True:
         try:
             await log.append(STREAM, record_id, encode(record))
             return
-        except (platformlog.LogUnavailable, platformlog.AppendUnknown):
-            _log.warning("The log did not take the record.", id=record.id)
-            await asyncio.sleep(_RETRY_MS / 1_000)
+        except (platformlog.LogUnavailable, platformlog.AppendUnknown) as error:
+            _log.warning("The log did not take a record.", why=str(error))
+        # Many sidecars may wait for the log's return.
+        await asyncio.sleep(random.uniform(0.5, 1.0) * retry_ms / 1_000)
+        retry_ms = min(retry_ms * 2, _RETRY_MAX_MS)
+
+
+async def keep_announced(
+    log: platformlog.PlatformLog, record: Announcement, published: asyncio.Event
+) -> None:
+    """Publishes an announcement, and again long before it would lapse.
+
+    Args:
+        log: The log service.
+        record: The announcement.
+        published: Set when the log has taken it for the first time.
+    """
+    period_ms = record.valid_ms / _RENEWALS_PER_VALIDITY
+    while True:
+        await publish(log, record)
+        published.set()
+        await asyncio.sleep(random.uniform(0.8, 1.0) * period_ms / 1_000)
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/shutdown.py
@@ -0,0 +1,27 @@
+"""Ends a process whose parts have been stopped."""
+
+import asyncio
+import os
+import sys
+from collections.abc import Coroutine
+from typing import Any
+from typing import NoReturn
+
+from sardineroute_core import logs
+
+_log = logs.part("daemon")
+
+
+def run(main: Coroutine[Any, Any, int]) -> NoReturn:
+    """Runs the main coroutine of a process, and exits with what it returns.
+
+    Threads that still wait for the log or for a backend server hold nothing
+    that has to be finished, and must not delay the exit.
+    """
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    exit_code = loop.run_until_complete(main)
+    _log.info("Stopped.", exit_code=exit_code)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(exit_code)
--- a/packages/daemon/src/sardinerouted/sidecar/process.py
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -1,10 +1,12 @@
 """The sidecar process: starts its parts, and stops them in order."""
 
 import asyncio
+import urllib.parse
 from collections.abc import Callable
 from typing import Any
 
 from sardineroute_core import clock
+from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import messages
@@ -14,12 +16,15 @@
 from sardineroute_core import streams
 from sardinerouted import httpd
 from sardinerouted import membership
+from sardinerouted import shutdown
 from sardinerouted import signals
+from sardinerouted import supervision
 from sardinerouted.sidecar import service
 
 _HTTP_THREADS = 2
 _HTTP_QUEUE = 16
 _MAX_BODY_BYTES = 1_024
+_PROBE_MS = 100
 
 _log = logs.part("sidecar")
 
@@ -27,54 +32,101 @@
 def run(options: settings.Sidecar) -> int:
     """Runs a sidecar until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
-    return asyncio.run(_main(options))
+    return shutdown.run(_main(options))
 
 
 async def _main(options: settings.Sidecar) -> int:
     time = clock.Clock()
     incarnation = ids.new_id()
     identity = streams.Identity(options.id, messages.Role.SIDECAR, incarnation)
-    tasks = service.Service(options, time)
+    stopping = asyncio.Event()
+    signals.install(stopping)
+    supervisor = supervision.Supervisor()
+    supervisor.watch_loop()
+    tasks = service.Service(options, time, stopping)
     server = await streams.serve(options.streams, identity, time, tasks.handle)
     log = platformlog.PlatformLog(options.log)
-    announcing = asyncio.create_task(
-        membership.publish(log, _announcement(options, incarnation))
+    announced = asyncio.Event()
+    supervisor.start(
+        "announcement",
+        _announce(log, options, _announcement(options, incarnation), announced),
     )
-    draining = asyncio.Event()
     httpd.start(
-        _app(lambda: announcing.done() and not draining.is_set()),
+        _app(
+            lambda: (
+                (announced.is_set() or tasks.served) and not stopping.is_set()
+            )
+        ),
         options.http,
         _HTTP_THREADS,
         _HTTP_QUEUE,
         _MAX_BODY_BYTES,
     )
     _log.info("Serving.", id=options.id, incarnation=incarnation)
-    await signals.stop_requested()
+    await signals.first_set(stopping, supervisor.failed)
+    if supervisor.failed.is_set():
+        return errors.EXIT_FAILED
+    stopping.set()
+    await supervisor.stop()
+    drained = await _drain(options, incarnation, tasks, log)
+    server.close()
+    log.close()
+    await asyncio.to_thread(httpd.stop)
+    return 0 if drained else errors.EXIT_FAILED
+
+
+async def _announce(
+    log: platformlog.PlatformLog,
+    options: settings.Sidecar,
+    announcement: membership.Announcement,
+    announced: asyncio.Event,
+) -> None:
+    """Announces the backend server, once it accepts connections."""
+    while not await _accepts_connections(options.backend_server.url):
+        await asyncio.sleep(_PROBE_MS / 1_000)
+    await membership.keep_announced(log, announcement, announced)
+
+
+async def _accepts_connections(url: str) -> bool:
+    parsed = urllib.parse.urlsplit(url)
+    port = parsed.port or (443 if parsed.scheme == "https" else 80)
+    try:
+        async with asyncio.timeout(1.0):
+            _, writer = await asyncio.open_connection(parsed.hostname, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def _drain(
+    options: settings.Sidecar,
+    incarnation: str,
+    tasks: service.Service,
+    log: platformlog.PlatformLog,
+) -> bool:
+    """Leaves: no new work, all accepted tasks ended, results delivered."""
     _log.info("Draining.")
-    draining.set()
-    announcing.cancel()
-    departing = asyncio.create_task(
-        membership.publish(
-            log,
-            membership.Departure(
-                options.id, messages.Role.SIDECAR, incarnation
-            ),
-        )
+    departure = membership.Departure(
+        options.id, messages.Role.SIDECAR, incarnation
     )
-    await tasks.drain()
-    server.close()
+    departing = asyncio.create_task(membership.publish(log, departure))
+    drained = True
+    try:
+        async with asyncio.timeout(options.drain_timeout_ms / 1_000):
+            await tasks.drain(2 * options.streams.silence_ms)
+    except TimeoutError:
+        _log.error("Tasks still run after the drain timeout.")
+        drained = False
     await asyncio.wait([departing], timeout=options.log.timeout_ms / 1_000)
     departing.cancel()
-    log.close()
-    httpd.stop()
-    _log.info("Stopped.")
-    return 0
+    return drained
 
 
 def _announcement(
     options: settings.Sidecar, incarnation: str
 ) -> membership.Announcement:
-    address = options.streams.listen
+    address = options.streams.advertise or options.streams.listen
     return membership.Announcement(
         id=options.id,
         role=messages.Role.SIDECAR,
@@ -86,6 +138,7 @@
         kinds=tuple(options.backend_server.kinds),
         slots=options.backend_server.slots,
         queue=options.backend_server.queue,
+        valid_ms=options.membership.valid_ms,
     )
 
 
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import concurrent.futures
+import contextlib
 import dataclasses
 
 from sardineroute_core import clock
@@ -10,6 +11,7 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardinerouted.sidecar import configured
 from sardinerouted.sidecar import guard
 from sardinerouted.sidecar import runner
 
@@ -27,8 +29,18 @@
 class Service:
     """The tasks of one backend server: waiting, running and ended."""
 
-    def __init__(self, options: settings.Sidecar, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        options: settings.Sidecar,
+        time: clock.Clock,
+        stopping: asyncio.Event,
+    ) -> None:
+        self._member = options
         self._options = options.backend_server
+        self._stopping = stopping
+        self._configured = configured.Configured()
+        self._warned: set[streams.Connection] = set()
+        self._heard = asyncio.Event()
         self._clock = time
         self._guard = guard.Guard(
             time, options.ownership.retention_ms, MAX_KEPT_TASKS
@@ -44,11 +56,17 @@
         self._busy = 0
         self._leaving = False
 
+    @property
+    def served(self) -> bool:
+        """Returns whether any entry has an open stream to this sidecar."""
+        return bool(self._connections)
+
     async def handle(self, connection: streams.Connection) -> None:
         """Serves one entry until its stream is closed."""
         if connection.peer.role is not messages.Role.ENTRY:
             raise streams.ConnectionLost("only entries are served")
         self._connections.add(connection)
+        connection.send(self._description())
         try:
             if self._leaving:
                 connection.send(messages.Leaving("shutting down"))
@@ -56,12 +74,24 @@
                 self._take(connection, message)
         finally:
             self._connections.discard(connection)
+            self._warned.discard(connection)
 
-    async def drain(self) -> None:
-        """Takes no new work, and returns when all accepted tasks ended."""
+    async def drain(self, reply_ms: int) -> None:
+        """Takes no new work, and returns when all accepted tasks ended.
+
+        Args:
+            reply_ms: How long entries may take to say that they send no
+                more; what one has sent before gets its refusal.
+        """
         self._leaving = True
         for connection in self._connections:
+            self._warned.add(connection)
             connection.send(messages.Leaving("shutting down"))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(reply_ms / 1_000):
+                while self._warned:
+                    self._heard.clear()
+                    await self._heard.wait()
         while self._runs:
             await asyncio.wait(self._runs)
         for connection in list(self._connections):
@@ -69,7 +99,7 @@
 
     def _take(self, connection: streams.Connection, message: object) -> None:
         if isinstance(message, messages.Start):
-            self._start(connection, message)
+            self._start(connection, self._configured.bounded(message))
         elif isinstance(message, messages.Ask):
             self._answer_ask(connection, message)
         elif isinstance(message, messages.CancelTasks):
@@ -77,6 +107,24 @@
         elif isinstance(message, messages.Ping):
             tick_ms = self._clock.now_ms()
             connection.send(messages.Pong(message.id, tick_ms))
+        elif isinstance(message, messages.Configure):
+            connection.send(self._configured.take(message))
+        elif isinstance(message, messages.Leaving):
+            self._warned.discard(connection)
+            self._heard.set()
+        elif isinstance(message, messages.Drain):
+            _log.info("Asked to drain.", who=message.who)
+            self._stopping.set()
+
+    def _description(self) -> messages.Describe:
+        return messages.Describe(
+            failure_domain=self._member.failure_domain,
+            region=self._member.region,
+            kinds=tuple(self._options.kinds),
+            slots=self._options.slots,
+            queue=self._options.queue,
+            configuration_version=self._configured.version,
+        )
 
     def _start(
         self, connection: streams.Connection, start: messages.Start
--- a/packages/daemon/src/sardinerouted/signals.py
+++ b/packages/daemon/src/sardinerouted/signals.py
@@ -1,13 +1,30 @@
 """The signals that ask a process to stop."""
 
 import asyncio
+import os
 import signal
 
+from sardineroute_core import errors
+
+
+def install(stopping: asyncio.Event) -> None:
+    """Sets `stopping` on SIGTERM or SIGINT; a second one ends the process."""
+    signaled = asyncio.Event()
+
+    def take() -> None:
+        if signaled.is_set():
+            os._exit(errors.EXIT_FAILED)
+        signaled.set()
+        stopping.set()
 
-async def stop_requested() -> None:
-    """Returns when SIGTERM or SIGINT arrives."""
-    stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+        loop.add_signal_handler(number, take)
+
+
+async def first_set(*events: asyncio.Event) -> None:
+    """Returns when one of the events is set."""
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
--- /dev/null
+++ b/tests/test_fold.py
@@ -0,0 +1,86 @@
+"""Tests of the fold where the state machine seldom goes."""
+
+import dataclasses
+from typing import Any
+
+from sardineroute_core import fold
+from sardineroute_core import platformlog
+from sardineroute_core import publication
+
+
+def change(change_id: str, based_on: int) -> publication.Change:
+    event = publication.Event(based_on + 1, based_on, "operator", 0, "")
+    return publication.Change(change_id, event, {})
+
+
+def batch(first: int, *written: Any) -> platformlog.Batch:
+    records = tuple(
+        platformlog.Record(
+            first + index,
+            "",
+            data if isinstance(data, dict) else publication.encode(data),
+        )
+        for index, data in enumerate(written)
+    )
+    return platformlog.Batch(first, first + len(records), records)
+
+
+def in_force(reader: fold.Fold) -> str | None:
+    return reader.state.change.id if reader.state is not None else None
+
+
+def test_both_copies_of_a_change_give_one_verdict() -> None:
+    reader = fold.Fold()
+    first = change("a", 0)
+    reader.take(batch(0, first, change("b", 1), first))
+    assert reader.was_accepted("a") is True
+    assert in_force(reader) == "b"
+
+
+def test_a_newer_format_loses_track_until_a_snapshot() -> None:
+    reader = fold.Fold()
+    told = dataclasses.replace(
+        publication.EMPTY, as_of=2, change=change("newer", 1)
+    )
+    newer = {"format": 2, "type": "change"}
+    reader.take(batch(0, change("a", 0), newer, change("c", 2)))
+    assert in_force(reader) is None
+    reader.take(batch(3, told))
+    assert in_force(reader) == "c"
+
+
+def test_a_snapshot_from_ahead_waits_for_the_reader() -> None:
+    reader = fold.Fold()
+    told = dataclasses.replace(
+        publication.EMPTY, as_of=12, change=change("told", 8)
+    )
+    reader.take(batch(10, change("x", 7)))
+    reader.offer(told)
+    assert in_force(reader) is None
+    reader.take(batch(11, change("told", 8), change("next", 9)))
+    assert in_force(reader) == "next"
+
+
+def test_a_stale_snapshot_can_not_hide_a_trimmed_winner() -> None:
+    reader = fold.Fold()
+    stale = dataclasses.replace(
+        publication.EMPTY, as_of=4, change=change("old", 0)
+    )
+    reader.take(batch(5, stale, change("loser", 1)))
+    assert in_force(reader) is None
+
+
+def test_a_restart_counts_only_if_nothing_came_in_between() -> None:
+    restart = publication.Restart(20, change("again", 20))
+    other = publication.Restart(20, change("late", 20))
+    holding = fold.Fold()
+    holding.take(batch(0, change("a", 0)))
+    holding.take(platformlog.Batch(0, 20, ()))
+    lost = fold.Fold()
+    for reader in (holding, lost):
+        reader.take(platformlog.Batch(20, 20, ()))
+        reader.take(batch(20, restart, other, change("b", 21)))
+        assert in_force(reader) == "b"
+    hidden = fold.Fold()
+    hidden.take(batch(20, change("c", 5), restart))
+    assert in_force(hidden) is None
