--- a/packages/daemon/src/sardinerouted/entry/admin_commands.py
+++ b/packages/daemon/src/sardinerouted/entry/admin_commands.py
@@ -66,18 +66,18 @@
         return
     request = messages.Drain(who)
     server = state.servers_by_id.get(member_id)
-    peer = state.peers_by_id.get(member_id)
+    entry = state.entries_by_id.get(member_id)
     if server is not None and server.connection is not None:
         server.connection.send(request)
         server.leaving = True
         return
-    if peer is None:
+    if entry is None:
         raise errors.Error(
             errors.Kind.NOT_FOUND,
             f"this entry reaches no entry or sidecar named {member_id!r}",
         )
     try:
-        await seeds.ask(state, seeds.address_of(peer.announcement), request)
+        await seeds.ask(state, seeds.address_of(entry), request)
     except streams.ConnectionLost as error:
         raise errors.Error(
             errors.Kind.NOT_FOUND, f"{member_id} can't be reached: {error}"
@@ -159,7 +159,7 @@
     used = set(configuration.schema_versions(document))
     blind = sorted(
         member.id
-        for member in (peer.announcement for peer in state.peers_by_id.values())
+        for member in state.entries_by_id.values()
         if used - set(member.schema_versions)
     )
     if blind:
--- a/packages/daemon/src/sardinerouted/entry/admin_queries.py
+++ b/packages/daemon/src/sardinerouted/entry/admin_queries.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import dataclasses
-from typing import Any
 
 from sardineroute_core import errors
 from sardineroute_core import messages
 from sardineroute_core import publication
 from sardineroute_core import streams
+from sardinerouted import membership
 from sardinerouted.entry import backends
 from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
@@ -58,8 +58,8 @@
 async def show_fleet(state: entry_state.EntryState) -> list[Member]:
     """Returns the entries and sidecars, each with its version and load."""
     entries = [
-        _entry(state, peer.announcement.id)
-        for peer in state.peers_by_id.values()
+        _entry(state, announcement)
+        for announcement in state.entries_by_id.values()
     ]
     sidecars = [_sidecar(server) for server in state.servers_by_id.values()]
     members = [_self(state), *await asyncio.gather(*entries), *sidecars]
@@ -84,8 +84,9 @@
     )
 
 
-async def _entry(state: entry_state.EntryState, entry_id: str) -> Member:
-    announcement = state.peers_by_id[entry_id].announcement
+async def _entry(
+    state: entry_state.EntryState, announcement: membership.Announcement
+) -> Member:
     request = messages.StateRequest(0, _NO_SNAPSHOT, False)
     version = -1
     reached = "unreachable"
@@ -97,7 +98,7 @@
     except streams.ConnectionLost:
         pass
     return Member(
-        id=entry_id,
+        id=announcement.id,
         role=messages.Role.ENTRY.value,
         failure_domain=announcement.failure_domain,
         region=announcement.region,
@@ -123,7 +124,7 @@
         state=_state_of(server),
         configuration_version=server.configuration_version,
         slots=announcement.slots,
-        busy=server.load,
+        busy=round(server.load),
         kinds=announcement.kinds,
     )
 
@@ -132,12 +133,3 @@
     if server.connection is None:
         return "unreachable"
     return "leaving" if server.leaving else "connected"
-
-
-def to_document(snapshot: publication.Snapshot) -> Any:
-    """Returns the JSON form of a version for operators."""
-    event = snapshot.change.event
-    return {
-        **dataclasses.asdict(event),
-        "document": snapshot.change.document,
-    }
--- a/packages/daemon/src/sardinerouted/entry/roster.py
+++ b/packages/daemon/src/sardinerouted/entry/roster.py
@@ -13,7 +13,6 @@
 from sardinerouted import membership
 from sardinerouted.entry import backends
 from sardinerouted.entry import links
-from sardinerouted.entry import peers
 from sardinerouted.entry import state as entry_state
 
 # A read that took longer was an outage of the log.
@@ -70,6 +69,7 @@
             else:
                 self._renew(change)
         self._lapse()
+        self._state.membership_next = batch.next
         self.has_read = True
 
     def learn(
@@ -93,11 +93,9 @@
                     self._forget_if_done(server)
 
     def close(self) -> None:
-        """Ends the links to all sidecars and entries."""
+        """Ends the links to all sidecars."""
         for link in self._links_by_server.values():
             link.cancel()
-        for peer in self._state.peers_by_id.values():
-            peer.close()
 
     def _grow_older(self) -> None:
         now_ms = self._state.clock.now_ms()
@@ -132,7 +130,7 @@
         server = self._state.servers_by_id.get(member_id)
         if server is not None:
             return server.announcement
-        return self._state.ownership.entries_by_id.get(member_id)
+        return self._state.entries_by_id.get(member_id)
 
     def _add_sidecar(self, change: membership.Announcement) -> None:
         state = self._state
@@ -151,25 +149,14 @@
                 state.options.streams,
                 state.identity,
                 state.clock,
-                state.ownership,
                 state.dispatcher,
+                state.questions,
             ),
         )
 
     def _add_entry(self, change: membership.Announcement) -> None:
-        state = self._state
-        known = state.ownership.entries_by_id.get(change.id)
-        if known is not None and known.incarnation == change.incarnation:
-            return
-        state.ownership.entries_by_id[change.id] = change
-        if change.id == state.identity.id:
-            return
-        peer = state.peers_by_id.get(change.id)
-        if peer is not None:
-            peer.close()
-        state.peers_by_id[change.id] = peers.Peer(
-            change, state.options.streams, state.identity, state.clock
-        )
+        if change.id != self._state.identity.id:
+            self._state.entries_by_id[change.id] = change
 
     def _depart(self, change: membership.Departure) -> None:
         self._departed.append(change.incarnation)
@@ -194,10 +181,7 @@
         if server is not None:
             server.departed = True
             self._forget_if_done(server)
-        state.ownership.entries_by_id.pop(member_id, None)
-        peer = state.peers_by_id.pop(member_id, None)
-        if peer is not None:
-            peer.close()
+        state.entries_by_id.pop(member_id, None)
 
     def _forget_if_done(self, server: backends.BackendServer) -> None:
         now_ms = self._state.clock.now_ms()
@@ -209,4 +193,5 @@
         link = self._links_by_server.pop(server, None)
         if link is not None:
             link.cancel()
+        self._state.questions.note_gone(server)
         self._state.dispatcher.lose(server)
--- a/packages/daemon/src/sardinerouted/entry/seeds.py
+++ b/packages/daemon/src/sardinerouted/entry/seeds.py
@@ -75,9 +75,7 @@
 
 def _addresses(state: entry_state.EntryState) -> list[settings.Address]:
     own = state.options.streams.listen
-    known = [
-        address_of(peer.announcement) for peer in state.peers_by_id.values()
-    ]
+    known = [address_of(entry) for entry in state.entries_by_id.values()]
     return [
         address for address in [*state.options.peers, *known] if address != own
     ]
@@ -151,10 +149,8 @@
 
 def _members(state: entry_state.EntryState) -> list[Any]:
     servers = state.servers_by_id.values()
-    peers = state.peers_by_id.values()
     announced = [server.announcement for server in servers]
-    announced += [peer.announcement for peer in peers]
-    announced.append(state.announcement)
+    announced += [*state.entries_by_id.values(), state.announcement]
     return [membership.encode(announcement) for announcement in announced]
 
 
--- a/packages/daemon/src/sardinerouted/httpd.py
+++ b/packages/daemon/src/sardinerouted/httpd.py
@@ -1,52 +1,50 @@
-"""The HTTP server of a role: cherrypy with one WSGI application."""
+"""Starts and stops the HTTP server of a role through cherrypy."""
 
-from collections.abc import Callable
-from typing import Any
+import logging
 
 import cherrypy
 
-from sardineroute_core import settings
+from sardineroute_core import logs
+from sardinerouted.web import app as web_app
+from sardinerouted.web import measures
+from sardinerouted.web import options as web_options
+from sardinerouted.web import server as web_server
 
-WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
+_log = logs.part("http")
 
-_HEADER_LIMIT_BYTES = 16_384
 
+def start(app: web_app.WsgiApp, options: web_options.Options) -> None:
+    """Serves `app` from threads of its own until `stop` is called.
 
-def start(
-    app: WsgiApp,
-    address: settings.Address,
-    threads: int,
-    listen_queue: int,
-    max_body_bytes: int,
-    tls: settings.Tls | None = None,
-) -> None:
-    """Serves `app` from cherrypy's threads until `stop` is called."""
+    Where the address can't be had, cherrypy ends the process with exit code
+    70 after it has logged why.
+    """
+    cherrypy.engine.subscribe("log", _log_line)
     cherrypy.tree.graft(app, "")
     cherrypy.config.update(
         {
             "environment": "embedded",
             "log.screen": False,
-            "server.socket_host": address.hostname,
-            "server.socket_port": address.port,
-            "server.thread_pool": threads,
-            "server.socket_queue_size": listen_queue,
-            "server.max_request_header_size": _HEADER_LIMIT_BYTES,
-            "server.max_request_body_size": max_body_bytes,
             "engine.autoreload.on": False,
         }
     )
-    if tls is not None:
-        cherrypy.config.update(
-            {
-                "server.ssl_module": "builtin",
-                "server.ssl_certificate": str(tls.certificate),
-                "server.ssl_private_key": str(tls.key),
-            }
-        )
+    server = web_server.make(cherrypy.server, cherrypy.tree, options)
+    measures.watch(server.idle_count, server.in_flight_count)
+    cherrypy.server.instance = server
     cherrypy.server.subscribe()
     cherrypy.engine.start()
 
 
+def drain() -> None:
+    """Lets each response from now on close its connection."""
+    cherrypy.server.instance.draining = True
+
+
 def stop() -> None:
-    """Finishes the requests in flight and closes the listening socket."""
+    """Answers the requests that have arrived, and closes everything."""
     cherrypy.engine.exit()
+
+
+def _log_line(message: str, level: int = logging.INFO) -> None:
+    if level >= logging.WARNING:
+        _log.log(level, "The HTTP server reports.", what=message.strip())
--- a/packages/daemon/src/sardinerouted/shutdown.py
+++ b/packages/daemon/src/sardinerouted/shutdown.py
@@ -8,6 +8,7 @@
 from typing import NoReturn
 
 from sardineroute_core import logs
+from sardineroute_core import traces
 
 _log = logs.part("daemon")
 
@@ -20,7 +21,10 @@
     """
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    exit_code = loop.run_until_complete(main)
+    try:
+        exit_code = loop.run_until_complete(main)
+    finally:
+        traces.close()
     _log.info("Stopped.", exit_code=exit_code)
     sys.stdout.flush()
     sys.stderr.flush()
--- a/packages/daemon/src/sardinerouted/sidecar/process.py
+++ b/packages/daemon/src/sardinerouted/sidecar/process.py
@@ -2,28 +2,27 @@
 
 import asyncio
 import urllib.parse
-from collections.abc import Callable
-from typing import Any
 
 from sardineroute_core import clock
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import messages
-from sardineroute_core import metrics
 from sardineroute_core import platformlog
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import traces
 from sardinerouted import httpd
 from sardinerouted import membership
 from sardinerouted import shutdown
 from sardinerouted import signals
 from sardinerouted import supervision
 from sardinerouted.sidecar import service
+from sardinerouted.web import app as web_app
+from sardinerouted.web import health
+from sardinerouted.web import options as web_options
+from sardinerouted.web import routes
 
-_HTTP_THREADS = 2
-_HTTP_QUEUE = 16
-_MAX_BODY_BYTES = 1_024
 _PROBE_MS = 100
 
 _log = logs.part("sidecar")
@@ -32,6 +31,7 @@
 def run(options: settings.Sidecar) -> int:
     """Runs a sidecar until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
+    traces.configure(options.traces, options.id)
     return shutdown.run(_main(options))
 
 
@@ -51,16 +51,12 @@
         "announcement",
         _announce(log, options, _announcement(options, incarnation), announced),
     )
+    table = health.table(
+        lambda: (announced.is_set() or tasks.served) and not stopping.is_set()
+    )
     httpd.start(
-        _app(
-            lambda: (
-                (announced.is_set() or tasks.served) and not stopping.is_set()
-            )
-        ),
-        options.http,
-        _HTTP_THREADS,
-        _HTTP_QUEUE,
-        _MAX_BODY_BYTES,
+        web_app.build(routes.Table(table)),
+        web_options.for_sidecar(options.http),
     )
     _log.info("Serving.", id=options.id, incarnation=incarnation)
     await signals.first_set(stopping, supervisor.failed)
@@ -140,28 +136,3 @@
         queue=options.backend_server.queue,
         valid_ms=options.membership.valid_ms,
     )
-
-
-def _app(is_ready: Callable[[], bool]) -> httpd.WsgiApp:
-    def app(
-        environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> list[bytes]:
-        path = environ["PATH_INFO"]
-        status = "200 OK"
-        body = b"ok\n"
-        if path == "/metrics":
-            body = metrics.exposition()
-        elif path == "/readyz" and not is_ready():
-            status = "503 Service Unavailable"
-            body = b"not ready\n"
-        elif path not in ("/livez", "/readyz"):
-            status = "404 Not Found"
-            body = b"not found\n"
-        headers = [
-            ("Content-Type", "text/plain; charset=utf-8"),
-            ("Content-Length", str(len(body))),
-        ]
-        start_response(status, headers)
-        return [body]
-
-    return app
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -11,9 +11,11 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import traces
 from sardinerouted.sidecar import configured
 from sardinerouted.sidecar import guard
 from sardinerouted.sidecar import runner
+from sardinerouted.sidecar import taskmetrics
 
 MAX_KEPT_TASKS = 200_000
 
@@ -24,6 +26,7 @@
 class _Queued:
     start: messages.Start
     connection: streams.Connection
+    span: traces.Span
 
 
 class Service:
@@ -52,9 +55,11 @@
         self._waiting: collections.deque[_Queued] = collections.deque()
         self._connections_by_task_id: dict[str, streams.Connection] = {}
         self._connections: set[streams.Connection] = set()
+        self._wanting: dict[streams.Connection, None] = {}
         self._runs: set[asyncio.Task[None]] = set()
         self._busy = 0
         self._leaving = False
+        taskmetrics.watch(lambda: self._busy, lambda: len(self._waiting))
 
     @property
     def served(self) -> bool:
@@ -74,7 +79,9 @@
                 self._take(connection, message)
         finally:
             self._connections.discard(connection)
+            self._wanting.pop(connection, None)
             self._warned.discard(connection)
+            self._heard.set()
 
     async def drain(self, reply_ms: int) -> None:
         """Takes no new work, and returns when all accepted tasks ended.
@@ -102,12 +109,23 @@
             self._start(connection, self._configured.bounded(message))
         elif isinstance(message, messages.Ask):
             self._answer_ask(connection, message)
+        elif isinstance(message, messages.AskPartition):
+            self._answer_partition(connection, message)
         elif isinstance(message, messages.CancelTasks):
             self._cancel(message)
+        elif isinstance(message, messages.Want):
+            self._wanting[connection] = None
+            self._tell_room()
         elif isinstance(message, messages.Ping):
             tick_ms = self._clock.now_ms()
             connection.send(messages.Pong(message.id, tick_ms))
-        elif isinstance(message, messages.Configure):
+        else:
+            self._take_administration(connection, message)
+
+    def _take_administration(
+        self, connection: streams.Connection, message: object
+    ) -> None:
+        if isinstance(message, messages.Configure):
             connection.send(self._configured.take(message))
         elif isinstance(message, messages.Leaving):
             self._warned.discard(connection)
@@ -141,10 +159,13 @@
         if decision.refusal is not None:
             self._refuse(connection, start, decision.refusal)
         elif decision.known is not None:
-            self._tell(connection, decision.known)
+            self._tell_same(connection, start, decision.known)
         else:
             self._connections_by_task_id[start.task_id] = connection
-            self._waiting.append(_Queued(start, connection))
+            span = traces.begin(
+                "sidecar", start.traceparent, {"task.id": start.task_id}
+            )
+            self._waiting.append(_Queued(start, connection, span))
             self._fill_slots()
 
     def _answer_ask(
@@ -153,12 +174,44 @@
         for task_id in ask.task_ids:
             record = self._guard.find(task_id)
             if record is None:
-                self._guard.fence(task_id)
+                self._guard.fence(_fence_of(task_id, ask))
                 outcome = messages.TaskOutcome.NEVER_SEEN
                 connection.send(self._result(task_id, outcome))
             else:
                 self._tell(connection, record)
 
+    def _tell_same(
+        self,
+        connection: streams.Connection,
+        start: messages.Start,
+        record: guard.TaskRecord,
+    ) -> None:
+        if record.digest == start.digest:
+            self._tell(connection, record)
+        else:
+            # An answer to another body must not reach this caller.
+            outcome = messages.TaskOutcome.UNKNOWN
+            connection.send(self._result(start.task_id, outcome))
+
+    def _answer_partition(
+        self, connection: streams.Connection, ask: messages.AskPartition
+    ) -> None:
+        self._guard.fence_partition(ask.partition, ask.epoch)
+        records = self._guard.tasks_of(ask.job) if ask.job else []
+        ended = [record.result for record in records if record.result]
+        running = [record for record in records if not record.result]
+        for record in running:
+            self._connections_by_task_id[record.id] = connection
+        connection.send(
+            messages.PartitionTasks(
+                id=ask.id,
+                jobs=() if ask.job else self._guard.jobs_in(ask.partition),
+                digest=records[0].digest if records else b"",
+                ended=tuple(ended),
+                running=tuple(self._running(record) for record in running),
+            )
+        )
+
     def _tell(
         self, connection: streams.Connection, record: guard.TaskRecord
     ) -> None:
@@ -169,23 +222,25 @@
             connection.send(self._result(record.id, outcome))
         else:
             self._connections_by_task_id[record.id] = connection
-            connection.send(
-                messages.Running(
-                    record.id,
-                    record.digest,
-                    self._busy,
-                    len(self._waiting),
-                    self._clock.now_ms(),
-                )
-            )
+            connection.send(self._running(record))
+
+    def _running(self, record: guard.TaskRecord) -> messages.Running:
+        return messages.Running(
+            record.id,
+            record.digest,
+            self._busy,
+            len(self._waiting),
+            self._clock.now_ms(),
+        )
 
     def _cancel(self, cancel: messages.CancelTasks) -> None:
         withdrawn = set(cancel.task_ids)
         kept: collections.deque[_Queued] = collections.deque()
         for queued in self._waiting:
             if queued.start.task_id in withdrawn:
+                queued.span.end("canceled")
                 self._guard.forget(queued.start.task_id)
-                self._guard.fence(queued.start.task_id)
+                self._guard.fence(queued.start)
                 self._refuse(
                     queued.connection,
                     queued.start,
@@ -201,25 +256,49 @@
         start: messages.Start,
         outcome: messages.TaskOutcome,
     ) -> None:
+        taskmetrics.count(outcome)
         connection.send(self._result(start.task_id, outcome))
 
     def _is_full(self) -> bool:
+        # Entries aim at the announced queue without knowing of each other's
+        # latest starts; what they send too much waits rather than bounces.
+        return self._room() + self._options.slots <= 0
+
+    def _room(self) -> int:
         free = self._options.slots - self._busy
-        return len(self._waiting) >= free + self._options.queue
+        return free + self._options.queue - len(self._waiting)
+
+    def _tell_room(self) -> None:
+        """Tells as many of the entries that wait for room as there is."""
+        room = self._room()
+        count = len(self._wanting) if self._busy == 0 else room
+        while self._wanting and count > 0:
+            connection = next(iter(self._wanting))
+            del self._wanting[connection]
+            count -= 1
+            connection.send(
+                messages.Room(
+                    self._busy, len(self._waiting), self._clock.now_ms()
+                )
+            )
 
     def _fill_slots(self) -> None:
         while self._waiting and self._busy < self._options.slots:
             queued = self._waiting.popleft()
             self._busy += 1
-            run = asyncio.create_task(self._run(queued.start))
+            run = asyncio.create_task(self._run(queued))
             self._runs.add(run)
             run.add_done_callback(self._runs.discard)
 
-    async def _run(self, start: messages.Start) -> None:
+    async def _run(self, queued: _Queued) -> None:
+        start = queued.start
         loop = asyncio.get_running_loop()
         ending = await loop.run_in_executor(
-            self._executor, self._runner.run, start
+            self._executor, self._runner.run, start, queued.span.traceparent
         )
+        queued.span.end(ending.detail)
+        taskmetrics.count(ending.outcome)
+        taskmetrics.observe(start.kind, ending.run_ms)
         self._busy -= 1
         self._fill_slots()
         result = self._result(start.task_id, ending.outcome, ending)
@@ -230,6 +309,7 @@
             self._guard.end(result)
         if connection is not None:
             connection.send(result)
+        self._tell_room()
 
     def _result(
         self,
@@ -247,3 +327,18 @@
             queued=len(self._waiting),
             tick_ms=self._clock.now_ms(),
         )
+
+
+def _fence_of(task_id: str, ask: messages.Ask) -> messages.Start:
+    return messages.Start(
+        task_id=task_id,
+        partition=ask.partition,
+        epoch=ask.epoch,
+        attempt=ask.attempt,
+        valid_until_ms=0,
+        digest=b"",
+        kind="",
+        payload=b"",
+        timeout_ms=0,
+        traceparent="",
+    )
--- a/packages/standins/src/sardineroute_standins/processes.py
+++ b/packages/standins/src/sardineroute_standins/processes.py
@@ -7,6 +7,8 @@
 import signal
 import subprocess
 import sys
+import time
+from collections.abc import Iterable
 
 TAIL_BYTES = 4_000
 
@@ -18,6 +20,11 @@
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def python(module_arguments: list[str]) -> list[str]:
+    """Returns the command that runs a module with this interpreter."""
+    return [sys.executable, "-m", *module_arguments]
+
+
 class Spawner:
     """Starts processes that the kernel kills when this one ends.
 
@@ -67,6 +74,7 @@
     Attributes:
         name: Its name in the fleet.
         ready_url: Answers 200 when the process is ready.
+        authority: File of certificates that verify it, for HTTPS.
         output: The file that takes what it prints.
     """
 
@@ -77,12 +85,14 @@
         module_arguments: list[str],
         ready_url: str,
         output: pathlib.Path,
+        authority: str | None = None,
     ) -> None:
         self.name = name
+        self.authority = authority
         self.ready_url = ready_url
         self.output = output
         self._spawner = spawner
-        self._arguments = [sys.executable, "-m", *module_arguments]
+        self._arguments = python(module_arguments)
         self._child: subprocess.Popen[bytes] | None = None
 
     @property
@@ -133,3 +143,26 @@
             return ""
         data = self.output.read_bytes()[-TAIL_BYTES:]
         return data.decode(errors="replace")
+
+
+def stop(group: Iterable[Process], timeout_s: float) -> None:
+    """Stops processes: SIGTERM to all, then SIGKILL after a bound."""
+    running = [process for process in group if process.running]
+    for process in running:
+        process.signal(signal.SIGTERM)
+        process.signal(signal.SIGCONT)
+    end_s = time.monotonic() + timeout_s
+    for process in running:
+        try:
+            process.wait(max(0.0, end_s - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+
+
+def tails(group: Iterable[Process]) -> str:
+    """Returns the last part of what each process printed."""
+    parts = [
+        f"--- {process.name} (exit code {process.exit_code})\n{process.tail()}"
+        for process in group
+    ]
+    return "\n".join(parts)
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -24,7 +24,7 @@
 PUBLISH_MS = 8_000
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
+class _VirtualLoop(asyncio.SelectorEventLoop):
     """Jumps to the next timer in place of waiting for it."""
 
     def __init__(self) -> None:
@@ -42,7 +42,7 @@
         return self._now_s
 
 
-class FakeLog:
+class _FakeLog:
     """Keeps the whole stream beside what readers can still see."""
 
     def __init__(self) -> None:
@@ -76,10 +76,10 @@
         return self.land(record_id, data)
 
 
-class Link:
+class _Link:
     """One entry's reads of the log, which may be cut."""
 
-    def __init__(self, log: FakeLog) -> None:
+    def __init__(self, log: _FakeLog) -> None:
         self.log = log
         self.cut = False
 
@@ -99,12 +99,12 @@
         return platformlog.Batch(self.log.first, start + len(found), found)
 
 
-class Entry:
-    def __init__(self, loop: VirtualLoop, log: FakeLog) -> None:
+class _Entry:
+    def __init__(self, loop: _VirtualLoop, log: _FakeLog) -> None:
         now = clock.Clock(now_ms=lambda: int(loop.time() * 1_000))
         self.holder = policy.PolicyHolder()
         self.current = configuration.Configuration(self.holder, now)
-        self.link = Link(log)
+        self.link = _Link(log)
         self.follower = loop.create_task(
             platformlog.follow(
                 self.link,  # type: ignore[arg-type]
@@ -116,7 +116,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Attempt:
+class _Attempt:
     change: publication.Change
     task: asyncio.Task[bool]
 
@@ -133,13 +133,13 @@
     return winners
 
 
-class ConfigurationMachine(stateful.RuleBasedStateMachine):
+class _ConfigurationMachine(stateful.RuleBasedStateMachine):
     def __init__(self) -> None:
         super().__init__()
-        self.loop = VirtualLoop()
-        self.log = FakeLog()
-        self.entries = [Entry(self.loop, self.log) for _ in range(ENTRIES)]
-        self.attempts: list[Attempt] = []
+        self.loop = _VirtualLoop()
+        self.log = _FakeLog()
+        self.entries = [_Entry(self.loop, self.log) for _ in range(ENTRIES)]
+        self.attempts: list[_Attempt] = []
         self.ids = itertools.count(1)
         self.run(10)
 
@@ -170,7 +170,7 @@
         self.run(pause_ms)
 
     def start_publishing(
-        self, entry: Entry, stale_by: int, schema: int
+        self, entry: _Entry, stale_by: int, schema: int
     ) -> None:
         state = entry.current.fold.state
         if state is None:
@@ -184,7 +184,7 @@
         task = self.loop.create_task(
             publisher.publish(self.log, entry.current, change, PUBLISH_MS)
         )
-        self.attempts.append(Attempt(change, task))
+        self.attempts.append(_Attempt(change, task))
 
     @stateful.rule(index=entry_indexes, pause_ms=pauses_ms)
     def snapshot(self, index: int, pause_ms: int) -> None:
@@ -225,7 +225,7 @@
     @stateful.rule(index=entry_indexes, other=entry_indexes)
     def restart(self, index: int, other: int) -> None:
         self.entries[index].follower.cancel()
-        self.entries[index] = Entry(self.loop, self.log)
+        self.entries[index] = _Entry(self.loop, self.log)
         self.ask(index, other)
 
     @stateful.rule(index=entry_indexes, other=entry_indexes)
@@ -312,7 +312,7 @@
 
 
 TestConfigurationMachine = pytest.mark.timeout(100)(
-    ConfigurationMachine.TestCase
+    _ConfigurationMachine.TestCase
 )
 TestConfigurationMachine.settings = hypothesis.settings(
     max_examples=400,
