--- a/packages/standins/src/sardineroute_standins/fleet.py
+++ b/packages/standins/src/sardineroute_standins/fleet.py
@@ -80,6 +80,7 @@
         self.entry_urls_by_name: dict[str, str] = {}
         self.proxied_entry_urls_by_name: dict[str, str] = {}
         self.backend_servers: list[BackendServer] = []
+        self._entries: list[layout.Member] = []
         self.secrets = layout.make_secrets()
         self._authority = str(options.tls.authority) if options.tls else None
         self._entry_scheme = "https" if options.tls else "http"
@@ -114,8 +115,12 @@
         self._start_log()
         for _ in range(self.options.backend_servers):
             self.add_backend_server()
-        for _ in range(self.options.entries):
-            self.add_entry()
+        members = [
+            self._member(f"entry-{index + 1}", index)
+            for index in range(self.options.entries)
+        ]
+        for member in members:
+            self._launch_entry(member, members)
         self.wait_ready(*self.processes_by_name)
 
     def stop(self, graceful: bool = True) -> None:
@@ -139,14 +144,7 @@
         """Starts one more entry and returns its name; it may not be ready."""
         index = len(self.entry_urls_by_name)
         member = self._member(f"entry-{index + 1}", index)
-        file = self._writer.entry(member)
-        self._launch_daemon("entry", member, file)
-        scheme = self._entry_scheme
-        url = layout.url(member.http_port, scheme)
-        self.entry_urls_by_name[member.id] = url
-        proxied_port = self.links.route(f"{member.id}:http", member.http_port)
-        proxied_url = layout.url(proxied_port, scheme)
-        self.proxied_entry_urls_by_name[member.id] = proxied_url
+        self._launch_entry(member, self._entries)
         return member.id
 
     def add_backend_server(self) -> BackendServer:
@@ -271,6 +269,19 @@
             arguments += [f"--{field.replace('_', '-')}", str(value)]
         self._launch("log", arguments, self._log_port)
 
+    def _launch_entry(
+        self, member: layout.Member, others: list[layout.Member]
+    ) -> None:
+        file = self._writer.entry(member, others)
+        self._launch_daemon("entry", member, file)
+        self._entries.append(member)
+        scheme = self._entry_scheme
+        url = layout.url(member.http_port, scheme)
+        self.entry_urls_by_name[member.id] = url
+        proxied_port = self.links.route(f"{member.id}:http", member.http_port)
+        proxied_url = layout.url(proxied_port, scheme)
+        self.proxied_entry_urls_by_name[member.id] = proxied_url
+
     def _launch_backend(
         self, server: BackendServer, index: int, port: int
     ) -> None:
--- a/packages/standins/src/sardineroute_standins/layout.py
+++ b/packages/standins/src/sardineroute_standins/layout.py
@@ -136,8 +136,13 @@
         self._secrets = fleet_secrets
         self._folder = folder
 
-    def entry(self, member: Member) -> pathlib.Path:
-        """Writes the settings of an entry and returns the file."""
+    def entry(self, member: Member, others: list[Member]) -> pathlib.Path:
+        """Writes the settings of an entry and returns the file.
+
+        Args:
+            member: The entry.
+            others: The entries that it may ask while the log is down.
+        """
         teams = self._secrets.team_tokens_by_name
         model = settings.Entry.model_validate(
             {
@@ -149,6 +154,11 @@
                 ),
                 "teams": [_token(name, teams[name]) for name in teams],
                 "operators": [_token("operator", self._secrets.operator_token)],
+                "peers": [
+                    address(other.advertised_port)
+                    for other in others
+                    if other.id != member.id
+                ],
             }
         )
         return self._write(model)
@@ -180,7 +190,12 @@
             "id": member.id,
             "failure_domain": f"domain-{domain}",
             "log": settings.Log(
-                url=member.log_url, timeout_ms=options.log_timeout_ms
+                url=member.log_url,
+                timeout_ms=options.log_timeout_ms,
+                retention_ms=options.log.retention_ms,
+            ),
+            "membership": settings.Membership(
+                valid_ms=options.log.retention_ms * 3 // 4
             ),
             "streams": settings.Streams(
                 listen=address(member.stream_port),
