--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -11,6 +11,7 @@
 from sardineroute_core import streams
 from sardinerouted import membership
 from sardinerouted.entry import backends
+from sardinerouted.entry import configuration
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import home
 from sardinerouted.entry import jobs
@@ -67,6 +68,9 @@
         ownership=owned,
         dispatcher=dispatcher,
         policy=holder,
+        configuration=configuration.Configuration(holder, time),
+        log=log,
+        announcement=_announcement(options, identity),
         servers_by_id=servers_by_id,
         peers=entries,
         table=table,
@@ -116,6 +120,22 @@
     )
 
 
+def _announcement(
+    options: settings.Entry, identity: streams.Identity
+) -> membership.Announcement:
+    address = options.streams.advertise or options.streams.listen
+    return membership.Announcement(
+        id=identity.id,
+        role=messages.Role.ENTRY,
+        incarnation=identity.incarnation,
+        host=address.hostname,
+        port=address.port,
+        failure_domain=options.failure_domain,
+        region=options.region,
+        valid_ms=options.membership.valid_ms,
+    )
+
+
 async def _ask_promise(
     entries: peers.Peers,
     owned: ownership.Ownership,
--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -162,6 +162,8 @@
 
     def _renew(self) -> None:
         owned = self._owned
+        if not owned.others():
+            owned.declare_solo()
         is_new = owned.solo and not owned.solo_declared
         period_ms = self._lease_ms // _RENEWALS_IN_LEASE
         if is_new:
--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -5,10 +5,13 @@
 import dataclasses
 
 from sardineroute_core import clock
+from sardineroute_core import platformlog
 from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardinerouted import membership
 from sardinerouted.entry import backends
+from sardinerouted.entry import configuration
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import jobs
 from sardinerouted.entry import keeper
@@ -31,6 +34,9 @@
         ownership: Which entry is home to which partition.
         dispatcher: The tasks queued and sent.
         policy: The configuration in force.
+        configuration: How it came to be in force, and what else is known.
+        log: The platform's log service.
+        announcement: What this entry announces of itself.
         servers_by_id: The backend servers announced.
         peers: The streams to other entries.
         table: The submissions that are remembered.
@@ -43,6 +49,8 @@
         former_jobs_by_id: Ended jobs that were at home here before.
         forwarded_by_job: Submissions under way to their home, by job.
         preparing: Jobs that are about to start.
+        entries_by_id: The other entries announced.
+        stopping: Set when this entry is to leave.
         membership_next: The offset up to which the membership stream was
             read.
         draining: Whether this entry is shutting down.
@@ -54,6 +62,9 @@
     ownership: ownership.Ownership
     dispatcher: dispatch.Dispatcher
     policy: policy.PolicyHolder
+    configuration: configuration.Configuration
+    log: platformlog.PlatformLog
+    announcement: membership.Announcement
     servers_by_id: dict[str, backends.BackendServer]
     peers: peers.Peers
     table: witness.Table
@@ -68,5 +79,9 @@
         default_factory=collections.Counter
     )
     preparing: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    entries_by_id: dict[str, membership.Announcement] = dataclasses.field(
+        default_factory=dict
+    )
+    stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     membership_next: int = 0
     draining: bool = False
