--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -22,6 +22,7 @@
 
 TIMEOUT_S = 10.0
 WAIT_S = 0.3
+BIG_BYTES = 64_000_000
 LISTEN = settings.Address.model_validate({"host": "127.0.0.1", "port": 0})
 
 Start = Callable[[options.Options], web_server.Server]
@@ -40,7 +41,7 @@
 
 @pytest.fixture
 def start(loop: asyncio.AbstractEventLoop) -> Iterator[Start]:
-    """Starts servers with the paths /now, /later, /body and /bug."""
+    """Starts servers with a few paths that answer, wait or fail."""
     handover = exchanges.Handover(loop)
 
     def now(_: requests.Request) -> responses.Response:
@@ -52,9 +53,18 @@
     def overdue(_: requests.Request) -> routes.Pending:
         return routes.Pending(asyncio.sleep(WAIT_S), handover, 10, now)
 
+    async def lose() -> None:
+        raise ConnectionResetError("a stream was lost")
+
+    def lost(_: requests.Request) -> routes.Pending:
+        return routes.Pending(lose(), handover, 10_000, now)
+
     def body(request: requests.Request) -> responses.Response:
         return responses.text(200, str(len(request.body())))
 
+    def big(_: requests.Request) -> responses.Response:
+        return responses.Response(200, responses.TEXT, b"x" * BIG_BYTES)
+
     def bug(_: requests.Request) -> responses.Response:
         raise RuntimeError("a bug")
 
@@ -63,7 +73,9 @@
             routes.Route("GET", "/now", now),
             routes.Route("GET", "/later", later),
             routes.Route("GET", "/overdue", overdue),
+            routes.Route("GET", "/lost", lost),
             routes.Route("POST", "/body", body),
+            routes.Route("GET", "/big", big),
             routes.Route("GET", "/bug", bug),
         ]
     )
@@ -128,6 +140,27 @@
         assert connection.receive() == (200, "now")
 
 
+def test_half_sent_requests_hold_no_thread(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2))
+    head = "POST /body HTTP/1.1\r\nContent-Length: 3000\r\n\r\n"
+    slow = [Connection(server) for _ in range(20)]
+    for number, connection in enumerate(slow):
+        connection.send((head + "x" * 2_990)[: 20 + number * 150])
+    quick = Connection(server)
+    began_s = time.monotonic()
+    quick.get("/now")
+    assert quick.receive() == (200, "now")
+    assert time.monotonic() - began_s < WAIT_S
+    for number, connection in enumerate(slow):
+        rest = (head + "x" * 3_000)[20 + number * 150 :]
+        for at in range(0, len(rest), 100):
+            connection.send(rest[at : at + 100])
+    for connection in slow:
+        assert connection.receive() == (200, "3000")
+        connection.get("/now")
+        assert connection.receive() == (200, "now")
+
+
 def test_slow_body_is_given_up_and_told(start: Start) -> None:
     server = start(options.Options(LISTEN, threads=2, request_timeout_ms=400))
     slow = [Connection(server) for _ in range(2)]
@@ -147,6 +180,19 @@
     assert after.receive() == (200, "3")
 
 
+def test_response_that_is_not_taken_is_given_up(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2, response_timeout_ms=300))
+    stuck = [Connection(server) for _ in range(2)]
+    for connection in stuck:
+        connection.get("/big")
+    after = Connection(server)
+    after.get("/now")
+    assert after.receive() == (200, "now")
+    status, body = stuck[0].receive()
+    assert status == 200
+    assert len(body) < BIG_BYTES
+
+
 def test_longest_idle_connection_makes_room(start: Start) -> None:
     server = start(options.Options(LISTEN, threads=2, max_connections=10))
     idle = [Connection(server) for _ in range(10)]
@@ -166,6 +212,7 @@
     connection = Connection(server)
     for path, status, code in (
         ("/bug", 500, '"internal"'),
+        ("/lost", 500, '"internal"'),
         ("/overdue", 502, '"outcome_unknown"'),
     ):
         connection.get(path)
@@ -181,6 +228,8 @@
     waiting = [Connection(server) for _ in range(20)]
     for connection in waiting:
         connection.get("/later")
+    half_sent = Connection(server)
+    half_sent.send("POST /body HTTP/1.1\r\nContent-Length: 3\r\n\r\na")
     stopping = threading.Thread(target=server.stop)
     stopping.start()
     fresh = [Connection(server) for _ in range(10)]
@@ -189,6 +238,8 @@
     for connection in [*waiting, *idle, *fresh]:
         assert connection.receive() == (200, "now")
         assert connection.receive() == (0, "")
+    half_sent.send("bc")
+    assert half_sent.receive() == (200, "3")
     stopping.join()
     with pytest.raises(ConnectionRefusedError):
         Connection(server)
