--- a/lab/fakesidecars.py
+++ b/lab/fakesidecars.py
@@ -47,12 +47,16 @@
 class FakeSidecar:
     """Answers the messages of entries as a sidecar with free slots does."""
 
-    def __init__(self, time: clock.Clock) -> None:
+    def __init__(
+        self, time: clock.Clock, description: messages.Describe
+    ) -> None:
         self._clock = time
+        self._description = description
         self._busy = 0
 
     async def handle(self, connection: streams.Connection) -> None:
         """Serves one entry until its stream is closed."""
+        connection.send(self._description)
         async for message in connection.receive():
             if isinstance(message, messages.Start):
                 self._start(connection, message)
@@ -62,6 +66,8 @@
             elif isinstance(message, messages.Want):
                 tick_ms = self._clock.now_ms()
                 connection.send(messages.Room(self._busy, 0, tick_ms))
+            elif isinstance(message, messages.Configure):
+                connection.send(messages.Configured(message.version))
 
     def _start(
         self, connection: streams.Connection, start: messages.Start
@@ -117,11 +123,19 @@
     name = f"fake-{number}"
     incarnation = ids.new_id()
     address = settings.Address.model_validate({"host": "127.0.0.1", "port": 0})
+    description = messages.Describe(
+        failure_domain=f"domain-{number % FAILURE_DOMAINS + 1}",
+        region=f"region-{number % REGIONS + 1}",
+        kinds=tuple(options.kinds),
+        slots=options.slots,
+        queue=4,
+        configuration_version=0,
+    )
     server = await streams.serve(
         settings.Streams(listen=address, secret=options.secret),
         streams.Identity(name, messages.Role.SIDECAR, incarnation),
         time,
-        FakeSidecar(time).handle,
+        FakeSidecar(time, description).handle,
     )
     port = server.sockets[0].getsockname()[1]
     announcement = membership.Announcement(
@@ -130,11 +144,11 @@
         incarnation=incarnation,
         host="127.0.0.1",
         port=port,
-        failure_domain=f"domain-{number % FAILURE_DOMAINS + 1}",
-        region=f"region-{number % REGIONS + 1}",
-        kinds=tuple(options.kinds),
-        slots=options.slots,
-        queue=4,
+        failure_domain=description.failure_domain,
+        region=description.region,
+        kinds=description.kinds,
+        slots=description.slots,
+        queue=description.queue,
     )
     async with limit:
         await membership.publish(log, announcement)
