Test takeover, and mark a submission only when it is about to be sent

Cause: a submission whose home could not be reached was remembered as one that may have started, so after a takeover it needed the sidecars. Change: the mark is made when a stream to the home entry is open; a new session is seen by all holders at once; the solo flag is cleared at once.

--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -1,7 +1,5 @@
 """Puts the parts of an entry together."""
 
-import asyncio
-
 from sardineroute_core import clock
 from sardineroute_core import ids
 from sardineroute_core import messages
@@ -25,7 +23,6 @@
 from sardinerouted.entry import state as entry_state
 from sardinerouted.entry import witness
 
-_SOLO_CHECKS_IN_LEASE = 6
 _BEYOND_END = 2**53
 
 
@@ -94,13 +91,13 @@
 
 async def clear_solo(state: entry_state.EntryState) -> None:
     """Passes on, for ever, what no other member knows yet."""
-    period_ms = state.options.ownership.lease_ms // _SOLO_CHECKS_IN_LEASE
     while True:
-        await asyncio.sleep(period_ms / 1_000)
+        changed = state.ownership.changed
         if state.recovery.doubtful():
             state.ownership.solo = True
         else:
             await state.desk.clear_solo()
+        await changed.wait()
 
 
 async def _membership_end(log: platformlog.PlatformLog) -> int:
--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/commands.py
@@ -32,15 +32,15 @@
             submission.timeout_ms,
             lambda: submit_here(state, submission, witnessed=False),
         )
+        refused = outcome.ran == errors.Ran.NO
+        if refused and not was_known and forwarded[job_id] == 1:
+            # The home entry has forgotten the job, and so may we.
+            state.table.forget(job_id)
+        return outcome
     finally:
         forwarded[job_id] -= 1
         if not forwarded[job_id]:
             del forwarded[job_id]
-    refused = outcome.ran == errors.Ran.NO
-    if refused and not was_known and job_id not in forwarded:
-        # The home entry has forgotten the job, and so may we.
-        state.table.forget(job_id)
-    return outcome
 
 
 def _request(
--- a/packages/daemon/src/sardinerouted/entry/home.py
+++ b/packages/daemon/src/sardinerouted/entry/home.py
@@ -33,13 +33,14 @@
         f"not answered within {timeout_ms} ms",
     )
     job.ended.add_done_callback(lambda _: _ended(state, job, timer))
-    standing = state.recovery.standing(job.id)
-    state.table.remember(mark_of(state, job.submission))
-    if standing is recovery.Standing.FRESH and witnessed:
+    if witnessed and (
+        state.recovery.standing(job.id) is recovery.Standing.FRESH
+    ):
+        state.table.remember(mark_of(state, job.submission))
         job.prove()
         state.dispatcher.enqueue(job)
         return
-    preparing = loop.create_task(_prepare(state, job, standing, witnessed))
+    preparing = loop.create_task(_prepare(state, job, witnessed))
     state.preparing.add(preparing)
     preparing.add_done_callback(state.preparing.discard)
 
@@ -93,12 +94,11 @@
 async def _prepare(
     state: entry_state.EntryState,
     job: jobs.Job,
-    standing: recovery.Standing,
     witnessed: bool,
 ) -> None:
     try:
-        if standing is recovery.Standing.PENDING:
-            standing = await state.recovery.settled(job.id)
+        standing = await state.recovery.settled(job.id)
+        state.table.remember(mark_of(state, job.submission))
         if standing is recovery.Standing.FRESH:
             job.prove()
             await _confirm(state, job, witnessed)
--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -165,10 +165,9 @@
         owned = self._owned
         if not owned.others() and not owned.solo:
             owned.solo = True
-        is_new = owned.solo and not owned.solo_declared
         period_ms = self._lease_ms // _RENEWALS_IN_LEASE
-        if is_new:
-            period_ms //= _RENEWALS_IN_LEASE
+        if owned.has_news():
+            period_ms //= _RENEWALS_IN_LEASE * _STEPS_IN_LEASE
         if self._clock.now_ms() - owned.own.sent_ms < period_ms:
             return
         self._number += 1
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -154,6 +154,18 @@
         """Returns the epochs of the partitions held here, by partition."""
         return dict(self._held)
 
+    def has_news(self) -> bool:
+        """Returns whether our next renewal says what others wait to read.
+
+        A member that our last renewal had not seen could not succeed us soon.
+        """
+        session = self.fold.active(self.own.session)
+        if session is None:
+            return False
+        if self.solo != session.terms.solo:
+            return True
+        return any(other.start >= session.terms.seen for other in self.others())
+
     def others(self) -> Sessions:
         """Returns the sessions of other members that can still claim."""
         return [
--- a/packages/daemon/src/sardinerouted/entry/peers.py
+++ b/packages/daemon/src/sardinerouted/entry/peers.py
@@ -43,10 +43,20 @@
             ConnectionLost: The stream broke; the request may have arrived.
             NotSent: No stream could be opened; it has not arrived.
         """
+        return await self.call_with(lambda: request)
+
+    async def call_with(self, make: Callable[[], Any]) -> Any:
+        """Does the same with a request that is made just before it is sent.
+
+        Raises:
+            ConnectionLost: As above.
+            NotSent: As above; no request was made.
+        """
         try:
             connection = await self._open()
         except streams.ConnectionLost as error:
             raise NotSent(str(error)) from error
+        request = make()
         request_id = next(self._ids)
         answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._answers_by_id[request_id] = answer
--- a/packages/daemon/src/sardinerouted/entry/routing.py
+++ b/packages/daemon/src/sardinerouted/entry/routing.py
@@ -28,7 +28,8 @@
 
     All requests are idempotent at the home entry, so a lost stream or a new
     home only costs another call. A request that can't have reached a home
-    entry waits for one no longer than a takeover takes.
+    entry waits for one no longer than a takeover takes. `request` is made
+    only when a stream to the home entry is open.
 
     Raises:
         errors.Error: No home entry answered in time. That the job did not
@@ -81,7 +82,7 @@
     if owner.member.incarnation == state.identity.incarnation:
         return await execute_here()
     peer = state.peers.of(owner.member)
-    outcome: messages.Outcome = await peer.call(request())
+    outcome: messages.Outcome = await peer.call_with(request)
     return outcome
 
 
--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,38 @@
+"""An owner that was paused past its lease starts nothing."""
+
+import time
+
+import conftest
+import submissions
+
+
+def test_owner_paused_past_its_lease_starts_nothing(
+    fleet: conftest.FleetFactory,
+) -> None:
+    running = fleet(
+        entries=3,
+        backend_servers=2,
+        slots=4,
+        ownership=submissions.SHORT_LEASES,
+    )
+    callers = submissions.Callers(running)
+    # More tasks than slots, so that the owner has some left to send.
+    jobs = [
+        submissions.make_job(f"job-{n}", count=12, run_ms=200) for n in range(9)
+    ]
+    first = [
+        callers.submit(f"entry-{n % 3 + 1}", job) for n, job in enumerate(jobs)
+    ]
+    submissions.wait_until(lambda: len(running.executions()) >= 16)
+    running.pause("entry-1")
+    again = [callers.through(["entry-2", "entry-3"], job) for job in jobs]
+    for job, pending in zip(jobs, again, strict=True):
+        for outcome in submissions.outcomes(pending):
+            assert submissions.is_whole(outcome, job), outcome
+    running.resume("entry-1")
+    for outcome in submissions.outcomes(first):
+        assert outcome.ran != "no", outcome
+    time.sleep(submissions.SHORT_LEASES.lease_ms / 1_000)
+    executions = running.executions()
+    assert len(executions) == sum(len(job.tasks) for job in jobs)
+    assert set(executions.values()) == {1}
