--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -8,6 +8,7 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardineroute_core import traces
 
 MAX_TIMEOUT_MS = 600_000
 
@@ -61,8 +62,10 @@
     """One task of a job, with what is known of it.
 
     `expected_ms` is the run time expected at the server it was sent to,
+    `spread_ms` its usual deviation, `ends_ms` when it should end,
     `overdue_ms` the time after which it is far too late, and `charged_ms`
-    what its team's share was charged for it.
+    what its team's share was charged for it. `queued_ns` is when it was queued
+    again, and `span` its trace at the server.
     """
 
     id: str
@@ -76,8 +79,12 @@
     epoch: int = 0
     attempt: int = 0
     expected_ms: float = 0.0
+    spread_ms: float = 0.0
+    ends_ms: float = 0.0
     overdue_ms: int = 0
     charged_ms: float = 0.0
+    queued_ns: int = 0
+    span: traces.Span = traces.NONE
 
 
 class Job:
@@ -85,6 +92,7 @@
 
     Attributes:
         submission: What the caller submitted.
+        queued_ns: When its tasks were queued first.
         tasks: The tasks in the caller's order.
         tasks_by_id: The same tasks by id.
         deadline_ms: When the caller's timeout ends, in the entry's time.
@@ -105,6 +113,7 @@
         holds: Callable[[], bool] = lambda: True,
     ) -> None:
         self.submission = submission
+        self.queued_ns = traces.now_ns()
         self.partition = partition
         self.holds = holds
         self.id = submission.job_id
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/sidecar/taskmetrics.py
@@ -0,0 +1,44 @@
+"""Metrics of the tasks at a sidecar."""
+
+from collections.abc import Callable
+
+import prometheus_client
+
+from sardineroute_core import messages
+
+_SECONDS = prometheus_client.Histogram(
+    "sardineroute_task_seconds",
+    "Time of the calls to the backend server.",
+    ["kind"],
+    buckets=(
+        *(0.01, 0.025, 0.05, 0.1, 0.25, 0.5),
+        *(1.0, 2.5, 5.0, 10.0, 30.0),
+    ),
+)
+_OUTCOMES = prometheus_client.Counter(
+    "sardineroute_task_outcomes",
+    "How start messages and runs ended.",
+    ["outcome"],
+)
+_BUSY = prometheus_client.Gauge(
+    "sardineroute_busy_slots", "Tasks that run on the backend server."
+)
+_WAITING = prometheus_client.Gauge(
+    "sardineroute_waiting_tasks", "Tasks accepted that wait for a slot."
+)
+
+
+def count(outcome: messages.TaskOutcome) -> None:
+    """Counts how a start message or a run ended."""
+    _OUTCOMES.labels(outcome.name.lower()).inc()
+
+
+def observe(kind: str, run_ms: int) -> None:
+    """Takes the time of one call to the backend server."""
+    _SECONDS.labels(kind).observe(run_ms / 1_000)
+
+
+def watch(busy: Callable[[], int], waiting: Callable[[], int]) -> None:
+    """Reads the numbers of tasks when the metrics are asked for."""
+    _BUSY.set_function(busy)
+    _WAITING.set_function(waiting)
--- a/packages/daemon/src/sardinerouted/web/requests.py
+++ b/packages/daemon/src/sardinerouted/web/requests.py
@@ -15,6 +15,7 @@
         method: The method, in capitals.
         segments: The decoded segments of the path.
         parameters: The decoded segments that a route's pattern names.
+        pattern: The pattern of the route that fits; empty before it is known.
     """
 
     def __init__(
@@ -25,6 +26,7 @@
         self.method: str = environ["REQUEST_METHOD"]
         self.segments = _segments(environ)
         self.parameters: Mapping[str, str] = {}
+        self.pattern = ""
 
     @property
     def path(self) -> str:
