--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -96,6 +96,7 @@
         self._clock = owned.clock
         self._horizon_ms = owned.options.retention_ms + jobs.MAX_TIMEOUT_MS
         self._partitions: dict[int, _Partition] = {}
+        self._former_doubts_ms: dict[int, int] = {}
         self._surveys: set[asyncio.Task[None]] = set()
 
     def gained(self, gains: list[ownership.Gain]) -> None:
@@ -112,6 +113,7 @@
                 doubted_ms=self._clock.now_ms(),
             )
             self._partitions[gain.partition] = partition
+            self._former_doubts_ms.pop(gain.partition, None)
             if gain.previous is None:
                 partition.settled.set()
             else:
@@ -122,18 +124,30 @@
             survey.add_done_callback(self._surveys.discard)
 
     def lost(self, partitions: set[int]) -> None:
-        """Forgets partitions that are no longer held here."""
-        for partition in partitions:
-            self._partitions.pop(partition, None)
-            self._questions.forget(partition)
+        """Forgets partitions that are no longer held here.
+
+        The next holder is told of doubts that were left.
+        """
+        for number in partitions:
+            partition = self._partitions.pop(number, None)
+            if partition is not None and not partition.proven:
+                self._former_doubts_ms[number] = partition.doubted_ms
+            self._questions.forget(number)
 
     def doubtful(self) -> tuple[int, ...]:
-        """Returns the partitions whose jobs are not all known here."""
+        """Returns the partitions whose jobs are not all known here.
+
+        Those count too that were given back before all was known.
+        """
         oldest_ms = self._clock.now_ms() - self._horizon_ms
+        doubts_ms = dict(self._former_doubts_ms)
+        for number, partition in self._partitions.items():
+            if not partition.proven:
+                doubts_ms[number] = partition.doubted_ms
         return tuple(
             number
-            for number, partition in self._partitions.items()
-            if not partition.proven and partition.doubted_ms > oldest_ms
+            for number, since_ms in doubts_ms.items()
+            if since_ms > oldest_ms
         )
 
     def standing(self, job_id: str) -> Standing:
@@ -238,6 +252,13 @@
             await asyncio.wait(asking, timeout=_SURVEY_TIMEOUT_MS / 1_000)
         for partition in partitions.values():
             partition.settled.set()
+        unproven = [
+            number
+            for number, partition in partitions.items()
+            if not partition.proven
+        ]
+        if unproven:
+            _log.warning("Not all jobs are known.", partitions=unproven)
         if asking:
             await asyncio.wait(asking)
 
@@ -276,22 +297,34 @@
             partition.missing.discard(session.id)
             if number in answer.doubtful:
                 partition.missing.add(f"doubt of {session.id}")
+            previous = partition.previous
+            if previous is None or number in answer.doubtful:
+                continue
+            if previous.incarnation == answer.incarnation:
+                # The last holder knows all jobs; nobody else need answer.
+                partition.proven = True
+                partition.settled.set()
         for partition in partitions.values():
             self._judge(partition, answer)
 
     def _judge(self, partition: _Partition, answer: messages.Surveyed) -> None:
-        if partition.missing or partition.previous is None:
+        if partition.proven or partition.missing or not partition.previous:
             return
         owned = self._owned
         previous = partition.previous
         if previous.solo and not owned.is_member(previous.incarnation):
+            _log.warning("A lost entry knew jobs that no other one knew.")
             return
         old_before = max(
             answer.losses_before, owned.old_losses_before(self._horizon_ms)
         )
-        partition.proven = not any(
-            loss.offset >= old_before
+        lost = [
+            loss.incarnation
+            for loss in owned.fold.losses
+            if loss.offset >= old_before
             and loss.incarnation != previous.incarnation
             and not owned.is_member(loss.incarnation)
-            for loss in owned.fold.losses
-        )
+        ]
+        partition.proven = not lost
+        if lost:
+            _log.warning("Several entries were lost.", incarnations=lost)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -52,10 +52,6 @@
     for name in (victim.sidecar, "entry-1", victim.name):
         running.kill(name)
     again = [callers.through(["entry-2", "entry-3"], job) for job in jobs]
-    fresh = [submissions.make_job(f"fresh-{n}", 4, 50) for n in range(24)]
-    others = [
-        callers.submit(f"entry-{n % 2 + 2}", job) for n, job in enumerate(fresh)
-    ]
     for job, pending in zip(jobs, again, strict=True):
         for outcome in submissions.outcomes(pending):
             assert outcome.ran != "no", outcome
@@ -63,6 +59,10 @@
                 assert submissions.is_whole(outcome, job)
             else:
                 assert outcome.code == "outcome_unknown", outcome
+    fresh = [submissions.make_job(f"fresh-{n}", 4, 50) for n in range(24)]
+    others = [
+        callers.submit(f"entry-{n % 2 + 2}", job) for n, job in enumerate(fresh)
+    ]
     for job, outcome in zip(fresh, submissions.outcomes(others), strict=True):
         assert submissions.is_whole(outcome, job), outcome
     submissions.outcomes(first)
