--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -85,18 +85,17 @@
     )
     owned.listeners.gained = lambda gains: home.gained(state, gains)
     owned.listeners.lost = lambda partitions: home.lost(state, partitions)
+    owned.doubtful = state.recovery.doubtful
     owned.listeners.witnessed = lambda marks: _remember(table, marks)
     return state
 
 
-async def clear_solo(state: entry_state.EntryState) -> None:
-    """Passes on, for ever, what no other member knows yet."""
+async def keep_copies(state: entry_state.EntryState) -> None:
+    """Passes on, for ever, what too few other members know."""
     while True:
         changed = state.ownership.changed
-        if state.recovery.doubtful():
-            state.ownership.solo = True
-        else:
-            await state.desk.clear_solo()
+        await state.desk.clear_solo()
+        await state.desk.repair()
         await changed.wait()
 
 
--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -63,6 +63,16 @@
     doubted_ms: int
     members_end: int = -1
 
+    def is_previous(self, incarnation: str) -> bool:
+        """Returns whether an incarnation was the last holder."""
+        previous = self.previous
+        return previous is not None and previous.incarnation == incarnation
+
+    def settle(self) -> None:
+        """Takes note that all jobs of earlier holders are known."""
+        self.proven = True
+        self.settled.set()
+
 
 @dataclasses.dataclass(frozen=True)
 class Members:
@@ -107,17 +117,21 @@
                 epoch=gain.epoch,
                 previous=gain.previous,
                 settled=asyncio.Event(),
-                proven=gain.previous is None,
+                proven=False,
                 keepers_by_job={},
                 missing=set(),
                 doubted_ms=self._clock.now_ms(),
             )
-            self._partitions[gain.partition] = partition
+            was_doubtful = gain.partition in self._former_doubts_ms
             self._former_doubts_ms.pop(gain.partition, None)
-            if gain.previous is None:
-                partition.settled.set()
-            else:
-                to_ask[gain.partition] = partition
+            self._partitions[gain.partition] = partition
+            own = self._owned.member.incarnation
+            if partition.is_previous(own) and was_doubtful:
+                partition.missing.add("our own doubt")
+            elif gain.previous is None or partition.is_previous(own):
+                partition.settle()
+                continue
+            to_ask[gain.partition] = partition
         if to_ask:
             survey = asyncio.create_task(self._survey(to_ask))
             self._surveys.add(survey)
@@ -146,7 +160,7 @@
                 doubts_ms[number] = partition.doubted_ms
         return tuple(
             number
-            for number, since_ms in doubts_ms.items()
+            for number, since_ms in sorted(doubts_ms.items())
             if since_ms > oldest_ms
         )
 
@@ -243,13 +257,15 @@
     async def _survey(self, partitions: dict[int, _Partition]) -> None:
         sessions = self._owned.others()
         for partition in partitions.values():
-            partition.missing = {session.id for session in sessions}
+            partition.missing |= {session.id for session in sessions}
         asking = {
             asyncio.create_task(self._survey_one(session, partitions))
             for session in sessions
         }
         if asking:
             await asyncio.wait(asking, timeout=_SURVEY_TIMEOUT_MS / 1_000)
+        else:
+            self._judge_all(partitions, 0)
         for partition in partitions.values():
             partition.settled.set()
         unproven = [
@@ -297,34 +313,47 @@
             partition.missing.discard(session.id)
             if number in answer.doubtful:
                 partition.missing.add(f"doubt of {session.id}")
-            previous = partition.previous
-            if previous is None or number in answer.doubtful:
-                continue
-            if previous.incarnation == answer.incarnation:
+            elif partition.is_previous(answer.incarnation):
                 # The last holder knows all jobs; nobody else need answer.
-                partition.proven = True
-                partition.settled.set()
+                partition.settle()
+        self._judge_all(partitions, answer.losses_before)
+
+    def _judge_all(
+        self, partitions: dict[int, _Partition], losses_before: int
+    ) -> None:
         for partition in partitions.values():
-            self._judge(partition, answer)
+            previous = partition.previous
+            if partition.proven or partition.missing or previous is None:
+                continue
+            if self._is_proven(previous, losses_before):
+                partition.settle()
 
-    def _judge(self, partition: _Partition, answer: messages.Surveyed) -> None:
-        if partition.proven or partition.missing or not partition.previous:
-            return
+    def _is_proven(
+        self, previous: leasefold.Previous, losses_before: int
+    ) -> bool:
+        """Returns whether the other members know all jobs of a lost holder.
+
+        Each of its jobs was known to another member, so they do unless one
+        more was lost.
+        """
+        if previous.doubtful or previous.solo:
+            return False
         owned = self._owned
-        previous = partition.previous
-        if previous.solo and not owned.is_member(previous.incarnation):
-            _log.warning("A lost entry knew jobs that no other one knew.")
-            return
-        old_before = max(
-            answer.losses_before, owned.old_losses_before(self._horizon_ms)
+        harmless_before = max(
+            losses_before,
+            previous.repaired,
+            owned.old_losses_before(self._horizon_ms),
         )
-        lost = [
+        lost = {
             loss.incarnation
             for loss in owned.fold.losses
-            if loss.offset >= old_before
-            and loss.incarnation != previous.incarnation
+            if loss.offset >= harmless_before
             and not owned.is_member(loss.incarnation)
-        ]
-        partition.proven = not lost
-        if lost:
-            _log.warning("Several entries were lost.", incarnations=lost)
+        }
+        # A superseded member is lost, though its session has not ended yet.
+        lost |= {
+            session.member.incarnation
+            for session in owned.fold.sessions_by_id.values()
+            if session.superseded
+        }
+        return lost <= {previous.incarnation}
