--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -43,12 +43,12 @@
     place = dispatch.Place(options.failure_domain, options.region)
     dispatcher = dispatch.Dispatcher(time, servers_by_id, owned, holder, place)
     retention_ms = options.ownership.retention_ms
-    table = witness.Table(time)
+    table = witness.Table(time, options.ownership.partitions)
     keeping = keeper.Keeper(
         owned,
         log,
         lambda session, for_ms: _ask_promise(entries, owned, session, for_ms),
-        lambda partition: not home.running_in(state, {partition}),
+        lambda partition: not state.running_by_partition[partition],
     )
     asked = questions.Questions(
         servers_by_id,
--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -66,7 +66,7 @@
         incarnation=state.identity.incarnation,
         losses_before=owned.old_losses_before(horizon_ms),
         doubtful=tuple(set(state.recovery.doubtful()) & partitions),
-        marks=tuple(state.table.marks_in(partitions, options.partitions)),
+        marks=tuple(state.table.marks_in(partitions)),
         kept=tuple(
             job_id
             for job_id in state.former_jobs_by_id
--- a/packages/daemon/src/sardinerouted/entry/home.py
+++ b/packages/daemon/src/sardinerouted/entry/home.py
@@ -24,6 +24,7 @@
         witnessed: Whether another member already remembers it.
     """
     state.jobs_by_id[job.id] = job
+    state.running_by_partition[job.partition] += 1
     loop = asyncio.get_running_loop()
     timeout_ms = job.submission.timeout_ms
     timer = loop.call_later(
@@ -53,18 +54,6 @@
     return messages.JobMark(submission.job_id, submission.digest, keep_ms)
 
 
-def running_in(
-    state: entry_state.EntryState, partitions: set[int]
-) -> list[jobs.Job]:
-    """Returns the running jobs of some partitions."""
-    return [
-        job
-        for job in state.jobs_by_id.values()
-        if job.state is jobs.State.RUNNING
-        and state.ownership.partition_of(job.id) in partitions
-    ]
-
-
 def lost(state: entry_state.EntryState, partitions: set[int]) -> None:
     """Ends the running jobs of partitions that are no longer held here.
 
@@ -72,18 +61,19 @@
     tasks that run. Outcomes of ended jobs are kept for it to recall.
     """
     state.recovery.lost(partitions)
-    running = running_in(state, partitions)
-    for job in running:
-        job.fail(errors.Kind.NOT_OWNER, "the lease on this job was lost")
-    for job in list(state.jobs_by_id.values()):
-        if state.ownership.partition_of(job.id) in partitions:
-            del state.jobs_by_id[job.id]
-            if job.failure is None or job.failure.kind is not (
-                errors.Kind.NOT_OWNER
-            ):
-                state.former_jobs_by_id[job.id] = job
+    moved = [
+        job for job in state.jobs_by_id.values() if job.partition in partitions
+    ]
+    running = 0
+    for job in moved:
+        del state.jobs_by_id[job.id]
+        if job.state is jobs.State.RUNNING:
+            running += 1
+            job.fail(errors.Kind.NOT_OWNER, "the lease on this job was lost")
+        else:
+            state.former_jobs_by_id[job.id] = job
     if running:
-        _log.warning("Running jobs have moved.", jobs=len(running))
+        _log.warning("Running jobs have moved.", jobs=running)
 
 
 def gained(state: entry_state.EntryState, gains: list[ownership.Gain]) -> None:
@@ -130,6 +120,7 @@
     state: entry_state.EntryState, job: jobs.Job, timer: asyncio.TimerHandle
 ) -> None:
     timer.cancel()
+    state.running_by_partition[job.partition] -= 1
     job.ended_ms = state.clock.now_ms()
     if job.state is not jobs.State.COMPLETE:
         state.dispatcher.drop(job)
--- a/packages/daemon/src/sardinerouted/entry/leasefold.py
+++ b/packages/daemon/src/sardinerouted/entry/leasefold.py
@@ -319,7 +319,7 @@
         """Takes the next record.
 
         Returns:
-            The records that this made part of the state.
+            The records that this made part of the state, and earlier ones.
         """
         self._read_to = offset + 1
         if self.complete:
@@ -355,7 +355,8 @@
         later = [item for item in self._pending if item[0] >= snapshot.at]
         for offset, record in later:
             fold.apply(offset, record)
+        read = [record for _, record in self._pending]
         self.fold = fold
         self.complete = True
         self._pending = []
-        return [record for _, record in later]
+        return read
--- a/packages/daemon/src/sardinerouted/entry/leaving.py
+++ b/packages/daemon/src/sardinerouted/entry/leaving.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from sardineroute_core import logs
-from sardinerouted.entry import home
 from sardinerouted.entry import state as entry_state
 
 _DRAIN_MS = 2_000
@@ -54,8 +53,9 @@
     others = bool(state.ownership.others_alive())
     while state.clock.now_ms() < end_ms:
         held = state.ownership.held()
-        busy = {job.partition for job in home.running_in(state, set(held))}
-        idle = [partition for partition in held if partition not in busy]
+        running = state.running_by_partition
+        busy = [partition for partition in held if running[partition]]
+        idle = [partition for partition in held if not running[partition]]
         if others and idle:
             state.keeper.give_back(idle)
         if others:
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -106,6 +106,8 @@
         self._held: dict[int, int] = {}
         self._given_back: set[tuple[int, int]] = set()
         self._loss_read_ms: dict[str, int] = {}
+        self._assigned_to: dict[str, str] | None = None
+        self._assignment: list[str] = []
         self._last_number = 0
         self._solo_number = 0
 
@@ -418,4 +420,9 @@
         }
         if not self.leaving:
             members_by_session[self.own.session] = self.member.id
-        return assignment.assign(members_by_session, self.options.partitions)
+        if members_by_session != self._assigned_to:
+            self._assigned_to = members_by_session
+            self._assignment = assignment.assign(
+                members_by_session, self.options.partitions
+            )
+        return self._assignment
--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -42,6 +42,7 @@
         jobs_by_id: The jobs at home here.
         former_jobs_by_id: Ended jobs that were at home here before.
         forwarded_by_job: Submissions under way to their home, by job.
+        running_by_partition: How many jobs run here, by partition.
         preparing: Jobs that are about to start.
         membership_next: The offset up to which the membership stream was
             read.
@@ -67,6 +68,9 @@
     forwarded_by_job: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    running_by_partition: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     preparing: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     membership_next: int = 0
     draining: bool = False
--- a/packages/daemon/src/sardinerouted/entry/witness.py
+++ b/packages/daemon/src/sardinerouted/entry/witness.py
@@ -29,8 +29,15 @@
 class Table:
     """The submissions that this entry knows, its own included."""
 
-    def __init__(self, time: clock.Clock, max_marks: int = MAX_MARKS) -> None:
+    def __init__(
+        self,
+        time: clock.Clock,
+        partitions: int,
+        max_marks: int = MAX_MARKS,
+    ) -> None:
         self._clock = time
+        self._partitions = partitions
+        self._jobs_by_partition: dict[int, set[str]] = {}
         self._max_marks = max_marks
         self._digests_by_job: dict[str, bytes] = {}
         self._expires_ms_by_job: dict[str, int] = {}
@@ -49,13 +56,16 @@
         if expires_ms > self._expires_ms_by_job.get(mark.job_id, 0):
             self._expires_ms_by_job[mark.job_id] = expires_ms
             heapq.heappush(self._expiry, (expires_ms, mark.job_id))
-        self._digests_by_job.setdefault(mark.job_id, mark.digest)
+        if not known:
+            self._digests_by_job[mark.job_id] = mark.digest
+            self._jobs_in(mark.job_id).add(mark.job_id)
         return True
 
     def forget(self, job_id: str) -> None:
         """Forgets a submission that provably never started."""
-        self._digests_by_job.pop(job_id, None)
-        self._expires_ms_by_job.pop(job_id, None)
+        if self._digests_by_job.pop(job_id, None) is not None:
+            del self._expires_ms_by_job[job_id]
+            self._jobs_in(job_id).discard(job_id)
 
     def digest_of(self, job_id: str) -> bytes | None:
         """Returns the digest of a known submission's body."""
@@ -64,33 +74,32 @@
 
     def marks(self) -> list[messages.JobMark]:
         """Returns all that is known, with the time left to remember it."""
+        return self.marks_in(list(self._jobs_by_partition))
+
+    def marks_in(self, partitions: Iterable[int]) -> list[messages.JobMark]:
+        """Returns what is known of some partitions."""
         self._expire()
         now_ms = self._clock.now_ms()
         return [
             messages.JobMark(
-                job_id, digest, self._expires_ms_by_job[job_id] - now_ms
+                job_id,
+                self._digests_by_job[job_id],
+                self._expires_ms_by_job[job_id] - now_ms,
             )
-            for job_id, digest in self._digests_by_job.items()
+            for partition in partitions
+            for job_id in self._jobs_by_partition.get(partition, ())
         ]
 
-    def marks_in(
-        self, partitions: Iterable[int], count: int
-    ) -> list[messages.JobMark]:
-        """Returns what is known of some of `count` partitions."""
-        wanted = set(partitions)
-        return [
-            mark
-            for mark in self.marks()
-            if ids.partition_of(mark.job_id, count) in wanted
-        ]
+    def _jobs_in(self, job_id: str) -> set[str]:
+        partition = ids.partition_of(job_id, self._partitions)
+        return self._jobs_by_partition.setdefault(partition, set())
 
     def _expire(self) -> None:
         now_ms = self._clock.now_ms()
         while self._expiry and self._expiry[0][0] <= now_ms:
             expires_ms, job_id = heapq.heappop(self._expiry)
             if self._expires_ms_by_job.get(job_id) == expires_ms:
-                del self._expires_ms_by_job[job_id]
-                del self._digests_by_job[job_id]
+                self.forget(job_id)
 
 
 class Desk:
