--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -106,6 +106,8 @@
         self._held: dict[int, int] = {}
         self._given_back: set[tuple[int, int]] = set()
         self._loss_read_ms: dict[str, int] = {}
+        self._assigned_to: dict[str, str] | None = None
+        self._assignment: list[str] = []
         self._last_number = 0
         self._solo_number = 0
 
@@ -187,6 +189,22 @@
         """Returns the epochs of the partitions held here, by partition."""
         return dict(self._held)
 
+    def has_news(self) -> bool:
+        """Returns whether our next renewal says what others wait to read.
+
+        A member that our last renewal had not seen could not succeed us soon.
+        """
+        session = self.fold.active(self.own.session)
+        if session is None:
+            return False
+        terms = session.terms
+        told = (terms.solo, terms.doubtful, terms.repaired)
+        if told != (self.solo, self.doubtful(), self.repaired):
+            return True
+        read = [other.start for other in self.others()]
+        read += self._held.values()
+        return any(offset >= terms.seen for offset in read)
+
     def others(self) -> Sessions:
         """Returns the sessions of other members that can still claim."""
         return [
@@ -405,4 +423,9 @@
         }
         if not self.leaving:
             members_by_session[self.own.session] = self.member.id
-        return assignment.assign(members_by_session, self.options.partitions)
+        if members_by_session != self._assigned_to:
+            self._assigned_to = members_by_session
+            self._assignment = assignment.assign(
+                members_by_session, self.options.partitions
+            )
+        return self._assignment
--- a/packages/daemon/src/sardinerouted/entry/routing.py
+++ b/packages/daemon/src/sardinerouted/entry/routing.py
@@ -25,12 +25,15 @@
     request: Callable[[], Any],
     timeout_ms: int,
     execute_here: Callable[[], Awaitable[messages.Outcome]],
+    traceparent: str | None = None,
 ) -> messages.Outcome:
     """Returns the home entry's answer; asks again while that is safe.
 
     All requests are idempotent at the home entry, so a lost stream or a new
     home only costs another call. A request that can't have reached a home
-    entry waits for one no longer than a takeover takes.
+    entry waits for one no longer than a takeover takes. `request` is made
+    only when a stream to the home entry is open; with a `traceparent` each
+    call is traced, and the request gets the call's span.
 
     Raises:
         errors.Error: No home entry answered in time. That the job did not
@@ -46,7 +49,9 @@
         owner = state.ownership.owner_of(job_id)
         try:
             if owner is not None:
-                outcome = await _call(state, owner, request, execute_here)
+                outcome = await _call(
+                    state, owner, request, execute_here, traceparent
+                )
                 if outcome.code != errors.Kind.NOT_OWNER:
                     return outcome
                 arrived |= outcome.retry_after_ms == 0
@@ -79,19 +84,20 @@
     owner: leasefold.Session,
     request: Callable[[], Any],
     execute_here: Callable[[], Awaitable[messages.Outcome]],
+    traceparent: str | None,
 ) -> messages.Outcome:
     if owner.member.incarnation == state.identity.incarnation:
         return await execute_here()
     peer = state.peers.of(owner.member)
-    message = request()
     outcome: messages.Outcome
-    if not isinstance(message, messages.Submit):
-        outcome = await peer.call(message)
+    if traceparent is None:
+        outcome = await peer.call_with(request)
         return outcome
     about = {"home": owner.member.id}
-    with traces.span("call home entry", message.traceparent, about) as span:
-        passed = dataclasses.replace(message, traceparent=span.traceparent)
-        outcome = await peer.call(passed)
+    with traces.span("call home entry", traceparent, about) as span:
+        outcome = await peer.call_with(
+            lambda: dataclasses.replace(request(), traceparent=span.traceparent)
+        )
     return outcome
 
 
