--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -180,3 +180,62 @@
     arguments[2] = "k2"
     missing = typer.testing.CliRunner().invoke(main.app, arguments)
     assert missing.exit_code == errors.EXIT_FAILED
+
+
+@pytest.fixture(scope="module")
+def operated(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[tuple[fleet_module.Fleet, Run]]:
+    """A small fleet, and the command line as its operator."""
+    folder = tmp_path_factory.mktemp("operated")
+    for made in conftest.small_fleet(folder):
+        urls = made.entry_urls_by_name.values()
+        yield made, _runner(made.secrets.operator_token, *urls)
+
+
+def test_configuration_is_published_once_and_listed(
+    operated: tuple[fleet_module.Fleet, Run], tmp_path: pathlib.Path
+) -> None:
+    _, run = operated
+    file = tmp_path / "configuration.json"
+    teams = {"anrc": {"schema_version": 1, "weight": 2.0}}
+    file.write_text(json.dumps({"teams": teams}))
+    before = json.loads(run("config", "show", "--json").stdout)["version"]
+    published = run("config", "publish", str(file), "--based-on", str(before))
+    assert published.exit_code == 0, published.stderr
+    assert f"version {before + 1} is accepted" in published.stdout
+    lost = run("config", "publish", str(file), "--based-on", str(before))
+    assert lost.exit_code == errors.EXIT_REFUSED
+    assert "version_conflict" in lost.stderr
+    shown = json.loads(run("config", "show", "--json").stdout)
+    assert shown["version"] == before + 1
+    assert shown["document"]["teams"] == teams
+    listed = json.loads(run("config", "history", "--json").stdout)
+    assert listed["changes"][-1]["who"] == "operator"
+    assert f"{before + 1}" in run("config", "history").stdout
+    file.write_text('{"colour": 1}')
+    refused = run("config", "publish", str(file))
+    assert refused.exit_code == errors.EXIT_REFUSED
+    assert "bad_configuration" in refused.stderr
+
+
+def test_fleet_is_listed_and_a_sidecar_drained(
+    operated: tuple[fleet_module.Fleet, Run],
+) -> None:
+    running, run = operated
+    listed = json.loads(run("fleet", "show", "--json").stdout)["members"]
+    assert {member["id"] for member in listed} == {"entry-1", "sidecar-1"}
+    table = run("fleet", "show").stdout
+    assert "sidecar-1" in table
+    assert "domain-1" in table
+    unknown = run("drain", "nobody")
+    assert unknown.exit_code == errors.EXIT_FAILED
+    assert run("drain", "sidecar-1").exit_code == 0
+    assert running.processes_by_name["sidecar-1"].wait(20) == 0
+    team = _runner(
+        running.secrets.team_tokens_by_name["anrc"],
+        *running.entry_urls_by_name.values(),
+    )
+    refused = team("fleet", "show")
+    assert refused.exit_code == errors.EXIT_REFUSED
+    assert "forbidden" in refused.stderr
