Clear doubts as soon as they are resolved

Change: a partition is given back only when the others were asked; a doubt names the claim it began with, is asked about again, and ends with its cause.

--- a/packages/core/src/sardineroute_core/messages.py
+++ b/packages/core/src/sardineroute_core/messages.py
@@ -268,14 +268,16 @@
 
     `incarnation` is the answering entry's. Entries lost before the log offset
     `losses_before` were lost longer ago than any job is remembered. In the
-    partitions `doubtful` it may not know all submissions. `kept` names jobs
-    of which it can tell the outcome.
+    partitions `doubtful` it may not know all submissions from before it
+    held them, by the claims `doubtful_epochs`. `kept` names jobs of which it
+    can tell the outcome.
     """
 
     id: int
     incarnation: str
     losses_before: int
     doubtful: tuple[int, ...]
+    doubtful_epochs: tuple[int, ...]
     marks: tuple[JobMark, ...]
     kept: tuple[str, ...]
 
--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -48,7 +48,7 @@
         owned,
         log,
         lambda session, for_ms: _ask_promise(entries, owned, session, for_ms),
-        lambda partition: not state.running_by_partition[partition],
+        lambda partition: home.is_idle(state, partition),
     )
     asked = questions.Questions(
         servers_by_id,
--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -61,11 +61,17 @@
     options = state.options.ownership
     partitions = set(request.partitions)
     horizon_ms = options.retention_ms + jobs.MAX_TIMEOUT_MS
+    doubts = {
+        number: epoch
+        for number, epoch in state.recovery.doubts().items()
+        if number in partitions
+    }
     return messages.Surveyed(
         id=request.id,
         incarnation=state.identity.incarnation,
         losses_before=owned.old_losses_before(horizon_ms),
-        doubtful=tuple(set(state.recovery.doubtful()) & partitions),
+        doubtful=tuple(doubts),
+        doubtful_epochs=tuple(doubts.values()),
         marks=tuple(state.table.marks_in(partitions)),
         kept=tuple(
             job_id
--- a/packages/daemon/src/sardinerouted/entry/home.py
+++ b/packages/daemon/src/sardinerouted/entry/home.py
@@ -54,6 +54,16 @@
     return messages.JobMark(submission.job_id, submission.digest, keep_ms)
 
 
+def is_idle(state: entry_state.EntryState, partition: int) -> bool:
+    """Returns whether a partition can be given back at once.
+
+    No job of it is running, and what the next holder has to know is known.
+    """
+    if state.running_by_partition[partition]:
+        return False
+    return state.recovery.has_asked(partition)
+
+
 def lost(state: entry_state.EntryState, partitions: set[int]) -> None:
     """Ends the running jobs of partitions that are no longer held here.
 
--- a/packages/daemon/src/sardinerouted/entry/leaving.py
+++ b/packages/daemon/src/sardinerouted/entry/leaving.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from sardineroute_core import logs
+from sardinerouted.entry import home
 from sardinerouted.entry import state as entry_state
 
 _DRAIN_MS = 2_000
@@ -53,9 +54,8 @@
     others = bool(state.ownership.others_alive())
     while state.clock.now_ms() < end_ms:
         held = state.ownership.held()
-        running = state.running_by_partition
-        busy = [partition for partition in held if running[partition]]
-        idle = [partition for partition in held if not running[partition]]
+        idle = [one for one in held if home.is_idle(state, one)]
+        busy = [one for one in held if one not in idle]
         if others and idle:
             state.keeper.give_back(idle)
         if others:
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -361,7 +361,8 @@
         before = self._held
         session = self.fold.active(self.own.session)
         if self.own.joined and session is None:
-            _log.warning("The session was ended by others.")
+            if not self.leaving:
+                _log.warning("The session was ended by others.")
             self.own.begin("")
         self._held = {}
         if session is not None and self.own.joined:
--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -24,6 +24,7 @@
 
 _SURVEY_TIMEOUT_MS = 500
 _RETRY_MS = 200
+_DOUBT_RETRY_MS = 2_000
 _POLL_MS = 20
 
 _log = logs.part("recovery")
@@ -106,7 +107,7 @@
         self._clock = owned.clock
         self._horizon_ms = owned.options.retention_ms + jobs.MAX_TIMEOUT_MS
         self._partitions: dict[int, _Partition] = {}
-        self._former_doubts_ms: dict[int, int] = {}
+        self._former: dict[int, _Partition] = {}
         self._surveys: set[asyncio.Task[None]] = set()
 
     def gained(self, gains: list[ownership.Gain]) -> None:
@@ -122,8 +123,8 @@
                 missing=set(),
                 doubted_ms=self._clock.now_ms(),
             )
-            was_doubtful = gain.partition in self._former_doubts_ms
-            self._former_doubts_ms.pop(gain.partition, None)
+            former = self._former.pop(gain.partition, None)
+            was_doubtful = former is not None and not former.proven
             self._partitions[gain.partition] = partition
             own = self._owned.member.incarnation
             if partition.is_previous(own) and was_doubtful:
@@ -145,24 +146,30 @@
         for number in partitions:
             partition = self._partitions.pop(number, None)
             if partition is not None and not partition.proven:
-                self._former_doubts_ms[number] = partition.doubted_ms
+                self._former[number] = partition
             self._questions.forget(number)
 
     def doubtful(self) -> tuple[int, ...]:
-        """Returns the partitions whose jobs are not all known here.
+        """Returns the partitions whose jobs are not all known here."""
+        return tuple(self.doubts())
+
+    def doubts(self) -> dict[int, int]:
+        """Returns the epochs of doubtful partitions, by partition.
 
         Those count too that were given back before all was known.
         """
         oldest_ms = self._clock.now_ms() - self._horizon_ms
-        doubts_ms = dict(self._former_doubts_ms)
-        for number, partition in self._partitions.items():
-            if not partition.proven:
-                doubts_ms[number] = partition.doubted_ms
-        return tuple(
-            number
-            for number, since_ms in sorted(doubts_ms.items())
-            if since_ms > oldest_ms
-        )
+        known = self._former | self._partitions
+        return {
+            number: partition.epoch
+            for number, partition in sorted(known.items())
+            if not partition.proven and partition.doubted_ms > oldest_ms
+        }
+
+    def has_asked(self, number: int) -> bool:
+        """Returns whether the other entries were asked about a partition."""
+        partition = self._partitions.get(number)
+        return partition is None or partition.settled.is_set()
 
     def standing(self, job_id: str) -> Standing:
         """Returns what is known of a job that is not in memory."""
@@ -283,40 +290,57 @@
         session: leasefold.Session,
         partitions: dict[int, _Partition],
     ) -> None:
-        numbers = tuple(partitions)
-        while session.id in self._owned.fold.sessions_by_id:
+        left = dict(partitions)
+        while left and session.id in self._owned.fold.sessions_by_id:
             try:
                 peer = self._peers.of(session.member)
-                answer = await peer.call(messages.Survey(0, numbers))
+                answer = await peer.call(messages.Survey(0, tuple(left)))
             except streams.ConnectionLost:
                 answer = None
+            retry_ms = _RETRY_MS
             if isinstance(answer, messages.Surveyed):
-                self._learn(session, partitions, answer)
-                return
-            await asyncio.sleep(_RETRY_MS / 1_000)
+                retry_ms = _DOUBT_RETRY_MS
+                doubted = self._learn(session, left, answer)
+                # What it does not know yet, it may find out.
+                left = {
+                    number: partition
+                    for number, partition in left.items()
+                    if number in doubted and number in self.doubts()
+                }
+            if left:
+                await asyncio.sleep(retry_ms / 1_000)
 
     def _learn(
         self,
         session: leasefold.Session,
         partitions: dict[int, _Partition],
         answer: messages.Surveyed,
-    ) -> None:
+    ) -> set[int]:
+        """Takes an answer; returns the partitions it leaves in doubt."""
         if answer.incarnation != session.member.incarnation:
-            return
+            return set()
         for mark in answer.marks:
             self._table.remember(mark)
         for job_id in answer.kept:
             number = self._owned.partition_of(job_id)
             if number in partitions:
                 partitions[number].keepers_by_job[job_id] = session
+        epochs = zip(answer.doubtful, answer.doubtful_epochs, strict=True)
+        # A doubt that began after our claim does not concern us.
+        doubted = {
+            number
+            for number, epoch in epochs
+            if number in partitions and epoch < partitions[number].epoch
+        }
         for number, partition in partitions.items():
+            if number in doubted:
+                continue
             partition.missing.discard(session.id)
-            if number in answer.doubtful:
-                partition.missing.add(f"doubt of {session.id}")
-            elif partition.is_previous(answer.incarnation):
+            if partition.is_previous(answer.incarnation):
                 # The last holder knows all jobs; nobody else need answer.
                 partition.settle()
         self._judge_all(partitions, answer.losses_before)
+        return doubted
 
     def _judge_all(
         self, partitions: dict[int, _Partition], losses_before: int
