--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -132,6 +132,35 @@
     assert "sidecar-1" in operators.members(running, name)
 
 
+def test_operator_starts_again_after_the_log_lost_all(
+    fleet: conftest.FleetFactory,
+) -> None:
+    running = fleet(entries=2, backend_servers=1)
+    assert operators.publish(running, "entry-1", 0, 2.0).status == 200
+    for entry in running.entry_urls_by_name:
+        running.kill(entry)
+    running.http.request(
+        "POST",
+        f"{running.log_url}/trim",
+        json={"stream": "configuration", "before": 100},
+    )
+    for entry in running.entry_urls_by_name:
+        running.restart(entry)
+    operators.wait_until(lambda: _is_up(running, "entry-1"), 10.0)
+    assert operators.publish(running, "entry-1", 0, 3.0).status == 503
+    operators.wait_until(
+        lambda: operators.publish(running, "entry-1", 0, 3.0).status == 200,
+        15.0,
+    )
+    names = operators.daemons(running)
+    operators.wait_until(
+        lambda: set(operators.versions(running, *names).values()) in ({2}, {3}),
+        operators.IN_FORCE_S,
+    )
+    running.wait_ready(*running.entry_urls_by_name)
+    assert operators.publish(running, "entry-2", 0, 4.0).status == 412
+
+
 def test_refusals_of_the_administration(fleet: conftest.FleetFactory) -> None:
     running = fleet(entries=1, backend_servers=1)
     bad = {
--- /dev/null
+++ b/tests/test_supervision.py
@@ -0,0 +1,49 @@
+"""A background task that ends takes the process with it."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from sardinerouted import supervision
+
+
+async def _fail() -> None:
+    raise ValueError("broken")
+
+
+async def _return() -> None:
+    return
+
+
+async def _fail_in_a_callback() -> None:
+    asyncio.get_running_loop().call_soon(int, "broken")
+    await asyncio.sleep(10)
+
+
+@pytest.mark.parametrize("work", [_fail, _return, _fail_in_a_callback])
+def test_ended_work_is_noticed(
+    work: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    async def run() -> None:
+        supervisor = supervision.Supervisor()
+        supervisor.watch_loop()
+        supervisor.start("work", work())
+        await asyncio.wait_for(supervisor.failed.wait(), 5)
+        await supervisor.stop()
+
+    asyncio.run(run())
+
+
+def test_stopped_work_is_no_failure() -> None:
+    async def run() -> None:
+        supervisor = supervision.Supervisor()
+        canceled = supervisor.start("link", asyncio.sleep(10))
+        supervisor.start("other", asyncio.sleep(10))
+        canceled.cancel()
+        await supervisor.stop()
+        assert not supervisor.failed.is_set()
+
+    asyncio.run(run())
