--- a/packages/daemon/src/sardinerouted/entry/witness.py
+++ b/packages/daemon/src/sardinerouted/entry/witness.py
@@ -153,6 +153,18 @@
         finally:
             self._clearing = False
 
+    async def repair(self) -> None:
+        """Passes on what lost members may have known of our jobs."""
+        owned = self._owned
+        at = owned.next
+        losses = owned.fold.losses
+        if not losses or losses[-1].offset < owned.repaired:
+            return
+        if len(self._table) and not owned.others_alive():
+            return
+        if await self.push(copies=1):
+            owned.repaired = at
+
     def _is_alone(self) -> bool:
         owned = self._owned
         return not owned.others() and owned.solo_declared
