--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -20,6 +20,7 @@
 from sardinerouted.entry import calls
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import distribution
+from sardinerouted.entry import fleetmetrics
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
@@ -43,6 +44,7 @@
 async def _main(options: settings.Entry) -> int:
     state = assembly.new_state(options, platformlog.PlatformLog(options.log))
     signals.install(state.stopping)
+    fleetmetrics.observe(state)
     supervisor = supervision.Supervisor()
     supervisor.watch_loop()
     server = await streams.serve(
--- a/packages/standins/src/sardineroute_standins/fleet.py
+++ b/packages/standins/src/sardineroute_standins/fleet.py
@@ -122,6 +122,37 @@
         for member in members:
             self._launch_entry(member, members)
         self.wait_ready(*self.processes_by_name)
+        self.wait_settled()
+
+    def wait_settled(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Waits until each entry sees all workers and has its share.
+
+        Raises:
+            FleetError: Some entry still lacks something after the timeout.
+        """
+        end_s = time.monotonic() + timeout_s
+        while not self._is_settled():
+            if time.monotonic() > end_s:
+                raise FleetError("the entries did not settle in time")
+            time.sleep(POLL_S)
+
+    def _is_settled(self) -> bool:
+        partitions = self.options.ownership.partitions
+        share = -(-partitions // len(self.entry_urls_by_name))
+        held = []
+        for url in self.entry_urls_by_name.values():
+            metrics = self._metrics_of(url)
+            held.append(metrics.get("sardineroute_held_partitions", 0.0))
+            connected = metrics.get("sardineroute_connected_backend_servers")
+            if connected != len(self.backend_servers):
+                return False
+        return sum(held) == partitions and max(held) <= share
+
+    def _metrics_of(self, url: str) -> dict[str, float]:
+        response = self.http.request("GET", f"{url}/metrics")
+        lines = response.data.decode().splitlines()
+        pairs = (line.rpartition(" ") for line in lines if line[:1] != "#")
+        return {name: float(value) for name, _, value in pairs}
 
     def stop(self, graceful: bool = True) -> None:
         """Ends all processes.
