--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -1,7 +1,5 @@
 """Puts the parts of an entry together."""
 
-import asyncio
-
 from sardineroute_core import clock
 from sardineroute_core import ids
 from sardineroute_core import messages
@@ -26,7 +24,6 @@
 from sardinerouted.entry import state as entry_state
 from sardinerouted.entry import witness
 
-_SOLO_CHECKS_IN_LEASE = 6
 _BEYOND_END = 2**53
 
 
@@ -47,12 +44,12 @@
     place = dispatch.Place(options.failure_domain, options.region)
     dispatcher = dispatch.Dispatcher(time, servers_by_id, owned, holder, place)
     retention_ms = options.ownership.retention_ms
-    table = witness.Table(time)
+    table = witness.Table(time, options.ownership.partitions)
     keeping = keeper.Keeper(
         owned,
         log,
         lambda session, for_ms: _ask_promise(entries, owned, session, for_ms),
-        lambda partition: not home.running_in(state, {partition}),
+        lambda partition: not state.running_by_partition[partition],
     )
     asked = questions.Questions(
         servers_by_id,
@@ -99,11 +96,11 @@
 
 async def keep_copies(state: entry_state.EntryState) -> None:
     """Passes on, for ever, what too few other members know."""
-    period_ms = state.options.ownership.lease_ms // _SOLO_CHECKS_IN_LEASE
     while True:
-        await asyncio.sleep(period_ms / 1_000)
+        changed = state.ownership.changed
         await state.desk.clear_solo()
         await state.desk.repair()
+        await changed.wait()
 
 
 async def _membership_end(log: platformlog.PlatformLog) -> int:
--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -49,7 +49,6 @@
         proven: Whether a job that nobody knows provably never started.
         keepers_by_job: Entries that can tell the outcome of a job.
         missing: Sessions that have not answered yet.
-        answered: Incarnations that have told what they know.
         doubted_ms: When the doubt began.
         members_end: The end of the membership stream at some time since the
             claim; -1 before it was read.
@@ -61,10 +60,19 @@
     proven: bool
     keepers_by_job: dict[str, leasefold.Session]
     missing: set[str]
-    answered: set[str]
     doubted_ms: int
     members_end: int = -1
 
+    def is_previous(self, incarnation: str) -> bool:
+        """Returns whether an incarnation was the last holder."""
+        previous = self.previous
+        return previous is not None and previous.incarnation == incarnation
+
+    def settle(self) -> None:
+        """Takes note that all jobs of earlier holders are known."""
+        self.proven = True
+        self.settled.set()
+
 
 @dataclasses.dataclass(frozen=True)
 class Members:
@@ -98,6 +106,7 @@
         self._clock = owned.clock
         self._horizon_ms = owned.options.retention_ms + jobs.MAX_TIMEOUT_MS
         self._partitions: dict[int, _Partition] = {}
+        self._former_doubts_ms: dict[int, int] = {}
         self._surveys: set[asyncio.Task[None]] = set()
 
     def gained(self, gains: list[ownership.Gain]) -> None:
@@ -108,35 +117,51 @@
                 epoch=gain.epoch,
                 previous=gain.previous,
                 settled=asyncio.Event(),
-                proven=gain.previous is None,
+                proven=False,
                 keepers_by_job={},
                 missing=set(),
-                answered={self._owned.member.incarnation},
                 doubted_ms=self._clock.now_ms(),
             )
+            was_doubtful = gain.partition in self._former_doubts_ms
+            self._former_doubts_ms.pop(gain.partition, None)
             self._partitions[gain.partition] = partition
-            if gain.previous is None:
-                partition.settled.set()
-            else:
-                to_ask[gain.partition] = partition
+            own = self._owned.member.incarnation
+            if partition.is_previous(own) and was_doubtful:
+                partition.missing.add("our own doubt")
+            elif gain.previous is None or partition.is_previous(own):
+                partition.settle()
+                continue
+            to_ask[gain.partition] = partition
         if to_ask:
             survey = asyncio.create_task(self._survey(to_ask))
             self._surveys.add(survey)
             survey.add_done_callback(self._surveys.discard)
 
     def lost(self, partitions: set[int]) -> None:
-        """Forgets partitions that are no longer held here."""
-        for partition in partitions:
-            self._partitions.pop(partition, None)
-            self._questions.forget(partition)
+        """Forgets partitions that are no longer held here.
+
+        The next holder is told of doubts that were left.
+        """
+        for number in partitions:
+            partition = self._partitions.pop(number, None)
+            if partition is not None and not partition.proven:
+                self._former_doubts_ms[number] = partition.doubted_ms
+            self._questions.forget(number)
 
     def doubtful(self) -> tuple[int, ...]:
-        """Returns the partitions whose jobs are not all known here."""
+        """Returns the partitions whose jobs are not all known here.
+
+        Those count too that were given back before all was known.
+        """
         oldest_ms = self._clock.now_ms() - self._horizon_ms
+        doubts_ms = dict(self._former_doubts_ms)
+        for number, partition in self._partitions.items():
+            if not partition.proven:
+                doubts_ms[number] = partition.doubted_ms
         return tuple(
             number
-            for number, partition in self._partitions.items()
-            if not partition.proven and partition.doubted_ms > oldest_ms
+            for number, since_ms in sorted(doubts_ms.items())
+            if since_ms > oldest_ms
         )
 
     def standing(self, job_id: str) -> Standing:
@@ -232,7 +257,7 @@
     async def _survey(self, partitions: dict[int, _Partition]) -> None:
         sessions = self._owned.others()
         for partition in partitions.values():
-            partition.missing = {session.id for session in sessions}
+            partition.missing |= {session.id for session in sessions}
         asking = {
             asyncio.create_task(self._survey_one(session, partitions))
             for session in sessions
@@ -243,6 +268,13 @@
             self._judge_all(partitions, 0)
         for partition in partitions.values():
             partition.settled.set()
+        unproven = [
+            number
+            for number, partition in partitions.items()
+            if not partition.proven
+        ]
+        if unproven:
+            _log.warning("Not all jobs are known.", partitions=unproven)
         if asking:
             await asyncio.wait(asking)
 
@@ -279,36 +311,32 @@
                 partitions[number].keepers_by_job[job_id] = session
         for number, partition in partitions.items():
             partition.missing.discard(session.id)
-            partition.answered.add(answer.incarnation)
             if number in answer.doubtful:
                 partition.missing.add(f"doubt of {session.id}")
+            elif partition.is_previous(answer.incarnation):
+                # The last holder knows all jobs; nobody else need answer.
+                partition.settle()
         self._judge_all(partitions, answer.losses_before)
 
     def _judge_all(
         self, partitions: dict[int, _Partition], losses_before: int
     ) -> None:
         for partition in partitions.values():
-            if not partition.missing and partition.previous is not None:
-                partition.proven = self._is_proven(
-                    partition, partition.previous, losses_before
-                )
+            previous = partition.previous
+            if partition.proven or partition.missing or previous is None:
+                continue
+            if self._is_proven(previous, losses_before):
+                partition.settle()
 
     def _is_proven(
-        self,
-        partition: _Partition,
-        previous: leasefold.Previous,
-        losses_before: int,
+        self, previous: leasefold.Previous, losses_before: int
     ) -> bool:
-        """Returns whether all jobs of the last holder are known by now.
+        """Returns whether the other members know all jobs of a lost holder.
 
-        It knows them itself, or one that was lost with it alone can't have
-        been the only other that knew them.
+        Each of its jobs was known to another member, so they do unless one
+        more was lost.
         """
-        if previous.doubtful:
-            return False
-        if previous.incarnation in partition.answered:
-            return True
-        if previous.solo:
+        if previous.doubtful or previous.solo:
             return False
         owned = self._owned
         harmless_before = max(
