--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -10,6 +10,7 @@
 from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
 from sardinerouted.entry import queries
+from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
 
 
@@ -17,6 +18,11 @@
     state: entry_state.EntryState, peer: streams.Identity, request: Any
 ) -> Any:
     """Returns the answer to a peer's call; errors travel as outcomes."""
+    if isinstance(request, messages.StateRequest):
+        return seeds.reply(state, request)
+    if isinstance(request, messages.Drain):
+        state.stopping.set()
+        return messages.Leaving(f"asked by {request.who}")
     if isinstance(request, messages.Witness):
         return _witness(state, request)
     if isinstance(request, messages.Survey):
--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -162,6 +162,8 @@
 
     def _renew(self) -> None:
         owned = self._owned
+        if not owned.others():
+            owned.declare_solo()
         period_ms = self._lease_ms // _RENEWALS_IN_LEASE
         if owned.has_news():
             period_ms //= _RENEWALS_IN_LEASE * _STEPS_IN_LEASE
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -153,7 +153,10 @@
     def begin_session(self, session: str) -> None:
         """Starts a session afresh; its renewals count from 0 again."""
         self.own.begin(session)
+        self._last_number = -1
         self._solo_number = 0
+        if not self.others():
+            self.declare_solo()
 
     @property
     def joined(self) -> bool:
--- a/packages/daemon/src/sardinerouted/entry/queries.py
+++ b/packages/daemon/src/sardinerouted/entry/queries.py
@@ -59,4 +59,8 @@
 
 def is_ready(state: entry_state.EntryState) -> bool:
     """Returns whether this entry takes requests."""
-    return not state.draining and state.ownership.joined
+    return (
+        not state.draining
+        and state.ownership.joined
+        and state.configuration.known
+    )
--- a/packages/daemon/src/sardinerouted/entry/witness.py
+++ b/packages/daemon/src/sardinerouted/entry/witness.py
@@ -131,8 +131,6 @@
         while self._clock.now_ms() < end_ms:
             if self._is_alone():
                 return True
-            if not self._owned.others():
-                self._owned.declare_solo()
             if await asyncio.shield(self._send_with_others(mark)):
                 return True
             await asyncio.sleep(_ACK_TIMEOUT_MS / 1_000)
--- a/packages/daemon/src/sardinerouted/web/connection.py
+++ b/packages/daemon/src/sardinerouted/web/connection.py
@@ -71,10 +71,23 @@
         wfile.hold()
         try:
             self.send_headers()
-            self.write(response.body)
+            if self.method != b"HEAD":
+                self.write(response.body)
         finally:
             wfile.flush()
 
+    def send_headers(self) -> None:
+        """Writes the head of the response.
+
+        With an unread body that is chunked, of an impossible length or not
+        there yet, the connection can't be used again.
+        """
+        unread = getattr(self.rfile, "remaining", 0)
+        if self.chunked_read or not 0 <= unread <= self.conn.rfile.available:
+            self.close_connection = True
+            self.conn.discards = True
+        super().send_headers()
+
     def simple_response(self, status: Any, msg: Any = "") -> None:
         """Answers an error that the server itself finds."""
         code = int(str(status)[:3])
@@ -83,6 +96,11 @@
         if kind is errors.Kind.INTERNAL:
             ran = errors.Ran.UNKNOWN
         detail = str(msg) or str(status)[4:]
+        if kind is errors.Kind.TOO_LARGE:
+            detail += (
+                f" Up to {self.server.max_request_header_size} bytes of head "
+                f"and {self.server.max_request_body_size} of body are allowed."
+            )
         problem = responses.problem(errors.Error(kind, detail, ran))
         lines = [f"HTTP/1.1 {problem.status_line}"]
         for name, value in problem.all_headers():
@@ -105,6 +123,7 @@
     Attributes:
         discards: Whether input is discarded before the connection is closed,
             so that a reset doesn't overtake the last response.
+        suspended: Whether a request has begun and not arrived in whole.
     """
 
     RequestHandlerClass = Request
@@ -117,6 +136,7 @@
         )
         self.wfile = sockets.Writer(connection, options.response_timeout_ms)
         self.discards = False
+        self.suspended = False
         self._parked: tuple[Request, exchanges.Exchange] | None = None
 
     @property
@@ -129,7 +149,14 @@
         if self._parked is not None:
             return self._finish(*self._parked)
         self.rfile.begin()
-        keep = super().communicate()
+        try:
+            keep = super().communicate()
+        except sockets.Incomplete:
+            self.suspended = True
+            return True
+        self.suspended = False
+        self.rfile.end()
+        self.wfile.begin()
         return keep or self.parked
 
     def park(self, request: Request, exchange: exchanges.Exchange) -> None:
