--- a/packages/core/src/sardineroute_core/messages.py
+++ b/packages/core/src/sardineroute_core/messages.py
@@ -89,6 +89,7 @@
     `valid_until_ms` is in the sidecar's monotonic time; later the sidecar
     refuses. `epoch` is the log offset of the sender's claim on `partition`;
     `attempt` counts the start messages for the task under that claim.
+    A `first` task goes before the others that wait for a slot.
     """
 
     task_id: str
@@ -101,6 +102,7 @@
     payload: bytes
     timeout_ms: int
     traceparent: str
+    first: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/sardineroute_core/policy.py
+++ b/packages/core/src/sardineroute_core/policy.py
@@ -20,7 +20,7 @@
     weight: float = 1.0
     urgency: int = 0
     max_queued_tasks: int = 20_000
-    max_waiting_callers: int = 32
+    max_waiting_callers: int = 256
     timeout_ms: int = 30_000
 
 
@@ -43,7 +43,7 @@
     weight: float = 1.0
     max_running_tasks: int = 0
     max_queued_tasks: int = 40_000
-    max_waiting_callers: int = 48
+    max_waiting_callers: int = 512
     kinds_by_name: Mapping[str, KindPolicy] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -10,6 +10,7 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted import membership
+from sardinerouted.entry import admission
 from sardinerouted.entry import backends
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import home
@@ -66,6 +67,7 @@
         clock=time,
         ownership=owned,
         dispatcher=dispatcher,
+        admission=admission.Admission(holder, dispatcher),
         policy=holder,
         servers_by_id=servers_by_id,
         peers=entries,
--- a/packages/daemon/src/sardinerouted/entry/backends.py
+++ b/packages/daemon/src/sardinerouted/entry/backends.py
@@ -72,21 +72,29 @@
         """Returns whether new work may be sent there."""
         return self.connection is not None and not self.leaving
 
-    def has_room(self) -> bool:
-        """Returns whether one more task is likely to be accepted."""
+    def has_room(self, first: bool = False) -> bool:
+        """Returns whether one more task is welcome there.
+
+        For a `first` task, which passes others, there is room for longer.
+        """
         limit = self.announcement.slots + self.announcement.queue
+        if first:
+            limit += self.announcement.slots
         return self.load <= limit - 1
 
-    def wait_ms(self) -> float:
+    def wait_ms(self, first: bool = False) -> float:
         """Returns the time until a new task is likely to start there.
 
         Our tasks end at their expected times, as far spread as their run
-        times are; those of other entries end evenly over their run time.
+        times are; those of other entries end evenly over their run time. A
+        `first` task passes the others that wait.
         """
         load = self.load
         place = round(load) - self.announcement.slots
         if place < 0:
             return 0.0
+        if first:
+            place = min(place, self._first_waiting())
         now_ms = self._clock.now_ms()
         ends_ms = [
             max(task.ends_ms - now_ms, task.expected_ms * _LATE_PART)
@@ -166,6 +174,13 @@
         span_ms = at_ms - self.tick.received_ms
         return self.tick.tick_ms + span_ms - lease.allowance_ms(span_ms)
 
+    def _first_waiting(self) -> int:
+        now_ms = self._clock.now_ms()
+        return sum(
+            task.first and task.ends_ms - task.expected_ms > now_ms
+            for task in self.tasks_by_id.values()
+        )
+
     def _others_now(self) -> float:
         age_ms = self._clock.now_ms() - self._others_ms
         known = math.exp2(-age_ms / max(1.0, self.mean_run_ms))
--- a/packages/daemon/src/sardinerouted/entry/choice.py
+++ b/packages/daemon/src/sardinerouted/entry/choice.py
@@ -28,12 +28,14 @@
         servers: The servers that run the kind.
         queued: Tasks of the kind that wait in this entry.
         excluded_ids: Servers that will not take the task.
+        first: Whether the task passes others that wait at the server.
     """
 
     kind: str
     servers: list[backends.BackendServer]
     queued: int = 1
     excluded_ids: frozenset[str] = frozenset()
+    first: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,10 +99,10 @@
         free: backends.BackendServer | None = None
         full: list[tuple[float, backends.BackendServer]] = []
         for server in _sampled(fitting):
-            finish_ms = _finish_ms(knowledge, request.kind, server)
+            finish_ms = _finish_ms(knowledge, request, server)
             if finish_ms < best_ms:
                 best_ms, best = finish_ms, server
-            if not _has_room(knowledge, server):
+            if not _has_room(knowledge, server, request.first):
                 full.append((finish_ms, server))
             elif finish_ms < open_ms:
                 open_ms, free = finish_ms, server
@@ -177,21 +179,23 @@
     return random.sample(servers, MAX_CANDIDATES)
 
 
-def _has_room(knowledge: Knowledge, server: backends.BackendServer) -> bool:
+def _has_room(
+    knowledge: Knowledge, server: backends.BackendServer, first: bool
+) -> bool:
     allowed = knowledge.health.allowance(server.id)
-    return len(server.tasks_by_id) < allowed and server.has_room()
+    return len(server.tasks_by_id) < allowed and server.has_room(first)
 
 
 def _finish_ms(
-    knowledge: Knowledge, kind: str, server: backends.BackendServer
+    knowledge: Knowledge, request: Request, server: backends.BackendServer
 ) -> float:
-    run_ms = knowledge.speeds.expected_ms(kind, server.id)
+    run_ms = knowledge.speeds.expected_ms(request.kind, server.id)
     distance_ms = 0.0
     if server.announcement.region != knowledge.region:
         distance_ms = _OTHER_REGION_MS
     elif server.announcement.failure_domain != knowledge.failure_domain:
         distance_ms = _OTHER_DOMAIN_MS
-    return server.wait_ms() + run_ms + distance_ms
+    return server.wait_ms(request.first) + run_ms + distance_ms
 
 
 def _absorbed(
@@ -210,7 +214,7 @@
     knowledge: Knowledge, servers: list[backends.BackendServer]
 ) -> Choice:
     for server in servers:
-        if _has_room(knowledge, server):
+        if _has_room(knowledge, server, False):
             return Choice(server=server)
     return Choice(awaited=servers[0] if servers else None)
 
--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/commands.py
@@ -7,6 +7,7 @@
 from sardineroute_core import messages
 from sardinerouted.entry import home
 from sardinerouted.entry import jobs
+from sardinerouted.entry import loadmetrics
 from sardinerouted.entry import recovery
 from sardinerouted.entry import routing
 from sardinerouted.entry import state as entry_state
@@ -80,7 +81,10 @@
         job = _start(state, submission, witnessed)
     elif job.submission.digest != submission.digest:
         raise _key_reused()
-    await asyncio.shield(job.ended)
+    elif job.state is jobs.State.RUNNING:
+        _check_caller(state, submission)
+    with state.admission.waiting(submission.team, submission.kind):
+        await asyncio.shield(job.ended)
     if job.failure is not None and job.failure.kind is errors.Kind.NOT_OWNER:
         raise job.failure
     return jobs.to_outcome(job, 0)
@@ -155,6 +159,7 @@
         if standing is not recovery.Standing.FRESH:
             # It may have run for an earlier home entry.
             error.ran = errors.Ran.UNKNOWN
+        loadmetrics.count_refusal(submission.team, error.kind.value)
         raise
     deadline_ms = state.clock.now_ms() + submission.timeout_ms
     job = jobs.Job(
@@ -174,16 +179,19 @@
         raise errors.Error(
             errors.Kind.SHUTTING_DOWN, "this entry is shutting down"
         )
-    _check_can_run(state, submission.kind)
+    entries = 1 + len(state.ownership.others_alive())
+    state.admission.check_job(submission, entries)
 
 
-def _check_can_run(state: entry_state.EntryState, kind: str) -> None:
-    for server in state.servers_by_id.values():
-        if kind in server.announcement.kinds:
-            return
-    raise errors.Error(
-        errors.Kind.CANNOT_RUN, f"no backend server runs kind {kind!r}"
-    )
+def _check_caller(
+    state: entry_state.EntryState, submission: jobs.Submission
+) -> None:
+    try:
+        state.admission.check_caller(submission.team, submission.kind)
+    except errors.Error as error:
+        # The job itself runs on.
+        error.ran = errors.Ran.UNKNOWN
+        raise
 
 
 def _key_reused() -> errors.Error:
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from sardineroute_core import clock
 from sardineroute_core import errors
@@ -13,6 +14,7 @@
 from sardinerouted.entry import jobs
 from sardinerouted.entry import ownership
 from sardinerouted.entry import queues
+from sardinerouted.entry import rates
 from sardinerouted.entry import speeds
 
 # With tasks queued, looks again at least so often; sends nothing by itself.
@@ -22,6 +24,8 @@
 _OVERDUE_MIN_MS = 500.0
 _MIN_OVERDUE_TASKS = 2
 _RECHECK_MIN_MS = 10
+_BURST_MS = 400.0
+_FLOOD_ROUNDS = 4
 _EXPECTED_REFUSALS = frozenset(
     {
         messages.TaskOutcome.REFUSED_FULL,
@@ -30,6 +34,9 @@
 )
 
 
+Pick = Callable[[queues.Costs], jobs.Task | None]
+
+
 @dataclasses.dataclass(frozen=True)
 class Place:
     """Where an entry runs."""
@@ -63,7 +70,7 @@
         self._knowledge = choice.Knowledge(
             self.speeds, self.health, place.failure_domain, place.region
         )
-        self._fair = queues.FairQueue(holder, self._job_key)
+        self._fair = queues.FairQueue(holder, self._job_key, self._burst_ms)
         self._fifo = queues.FifoQueue()
         self._queue: queues.Queue = self._fair
         self._policy_name = ""
@@ -71,6 +78,7 @@
         self._servers_by_kind: dict[str, list[backends.BackendServer]] = {}
         self._indexed_ms = 0
         self._withdrawn_by_server: dict[str, list[str]] = {}
+        self._starts_by_flow: dict[tuple[str, str], rates.Rate] = {}
         self._recheck: asyncio.TimerHandle | None = None
 
     @property
@@ -78,6 +86,10 @@
         """Returns the queue in use."""
         return self._queue
 
+    def servers(self) -> list[backends.BackendServer]:
+        """Returns the announced backend servers, for any thread."""
+        return list(self._servers_by_id.values())
+
     def servers_of(self, kind: str) -> list[backends.BackendServer]:
         """Returns the announced backend servers that run a kind."""
         now_ms = self._clock.now_ms()
@@ -96,6 +108,11 @@
             self._servers_by_kind[kind] = servers
         return servers
 
+    def start_rate(self, team: str, kind: str) -> float:
+        """Returns the tasks of a team's kind started in a millisecond."""
+        rate = self._starts_by_flow.get((team, kind))
+        return rate.per_ms() if rate else 0.0
+
     def enqueue(self, job: jobs.Job) -> None:
         """Queues all tasks of a job and sends what can be sent."""
         self._follow_policy()
@@ -114,10 +131,22 @@
                 self._withdraw(task)
 
     def pump(self) -> None:
-        """Sends queued tasks while backend servers have room."""
+        """Sends queued tasks while backend servers have room.
+
+        In a flood, tasks that are owed time are sent beyond that: they pass
+        the others at their server.
+        """
         self._follow_policy()
+        placements = self._pump(self._queue.pick, first=False)
+        if self._queue.queued_by_kind():
+            if self._is_flooded():
+                self._pump(self._queue.pick_first, first=True)
+            self._await_room(placements)
+
+    def _pump(self, pick: Pick, first: bool) -> dict[str, choice.Choice]:
+        """Sends what `pick` gives; returns the last choice of each kind."""
         placements = {
-            kind: self._place(kind, queued)
+            kind: self._place(kind, queued, first)
             for kind, queued in self._queue.queued_by_kind().items()
         }
         costs_by_kind = {
@@ -126,7 +155,7 @@
             if placement.server is not None
         }
         while costs_by_kind:
-            task = self._queue.pick(costs_by_kind)
+            task = pick(costs_by_kind)
             if task is None:
                 break
             kind = task.job.submission.kind
@@ -134,8 +163,8 @@
             if server is None or not self._send_to(server, task):
                 del costs_by_kind[kind]
                 continue
-            self._place_again(server, placements, costs_by_kind)
-        self._await_room(placements)
+            self._place_again(server, placements, costs_by_kind, first)
+        return placements
 
     def take(
         self,
@@ -200,6 +229,21 @@
             queue.fill(self._queue.drain())
             self._queue = queue
 
+    def _is_flooded(self) -> bool:
+        """Returns whether far more tasks wait here than the fleet runs."""
+        queued = sum(self._queue.queued_by_kind().values())
+        return queued > self._slots() * _FLOOD_ROUNDS
+
+    def _slots(self) -> int:
+        return sum(
+            server.announcement.slots for server in self._servers_by_id.values()
+        )
+
+    def _burst_ms(self) -> float:
+        """Returns the slot time that a team or kind may be ahead by."""
+        entries = 1 + len(self._ownership.others_alive())
+        return _BURST_MS * self._slots() / entries
+
     def _job_key(self, job: jobs.Job) -> float:
         """Returns the time by which a job would be done if it ran alone."""
         kind = job.submission.kind
@@ -207,14 +251,17 @@
         work_ms = len(job.tasks) * self.speeds.kind_ms(kind)
         return self._clock.now_ms() + work_ms / max(1, slots)
 
-    def _place(self, kind: str, queued: int) -> choice.Choice:
-        return self._choose(choice.Request(kind, self.servers_of(kind), queued))
+    def _place(self, kind: str, queued: int, first: bool) -> choice.Choice:
+        return self._choose(
+            choice.Request(kind, self.servers_of(kind), queued, first=first)
+        )
 
     def _place_again(
         self,
         server: backends.BackendServer,
         placements: dict[str, choice.Choice],
         costs_by_kind: dict[str, float],
+        first: bool,
     ) -> None:
         """Chooses again for the kinds that the server was chosen for."""
         queued_by_kind = self._queue.queued_by_kind()
@@ -226,7 +273,7 @@
                 del costs_by_kind[kind]
                 del placements[kind]
                 continue
-            placement = self._place(kind, queued)
+            placement = self._place(kind, queued, first)
             placements[kind] = placement
             if placement.server is None:
                 del costs_by_kind[kind]
@@ -273,18 +320,20 @@
             self._queue.put_back(task)
             return False
         now_ms = self._clock.now_ms()
+        task.first = task.first and self._is_flooded()
         task.phase = jobs.Phase.SENT
         task.server_id = server.id
         task.sent_ms = now_ms
         task.expected_ms = self.speeds.expected_ms(submission.kind, server.id)
         task.spread_ms = task.expected_ms * self.speeds.spread(submission.kind)
-        took_ms = server.wait_ms() + task.expected_ms
+        took_ms = server.wait_ms(task.first) + task.expected_ms
         task.ends_ms = now_ms + took_ms
         patience_ms = max(took_ms * _OVERDUE_RATIO, _OVERDUE_MIN_MS)
         task.overdue_ms = now_ms + int(patience_ms)
         task.epoch = grant.epoch
         task.attempt += 1
         server.add(task)
+        self._count_start(submission)
         self.health.sent(server.id, task.id)
         server.connection.send(
             messages.Start(
@@ -298,10 +347,19 @@
                 payload=task.payload,
                 timeout_ms=max(1, task.job.deadline_ms - now_ms),
                 traceparent=submission.traceparent,
+                first=task.first,
             )
         )
         return True
 
+    def _count_start(self, submission: jobs.Submission) -> None:
+        label = (submission.team, submission.kind)
+        rate = self._starts_by_flow.get(label)
+        if rate is None:
+            rate = rates.Rate(self._clock)
+            self._starts_by_flow[label] = rate
+        rate.add()
+
     def _end(
         self,
         server: backends.BackendServer,
@@ -388,8 +446,6 @@
         Load rides on answers. A sidecar that owes us none is asked to tell
         when it has room.
         """
-        if not self._queue.queued_by_kind():
-            return
         for placement in placements.values():
             server = placement.awaited
             if placement.server is None and server is not None:
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -63,7 +63,8 @@
     `expected_ms` is the run time expected at the server it was sent to,
     `spread_ms` its usual deviation, `ends_ms` when it should end,
     `overdue_ms` the time after which it is far too late, and `charged_ms`
-    what its team's share was charged for it.
+    what its team's share was charged for it. It goes `first` at its server
+    when its team or kind has used less than its share.
     """
 
     id: str
@@ -82,6 +83,7 @@
     ends_ms: float = 0.0
     overdue_ms: int = 0
     charged_ms: float = 0.0
+    first: bool = False
 
 
 class Job:
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -16,6 +16,7 @@
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
+from sardinerouted.entry import loadmetrics
 from sardinerouted.entry import peers
 from sardinerouted.entry import roster
 from sardinerouted.entry import state as entry_state
@@ -34,6 +35,7 @@
     log = platformlog.PlatformLog(options.log)
     state = assembly.new_state(options, log)
     fleet = roster.Roster(state)
+    loadmetrics.register(state.dispatcher)
     server = await streams.serve(
         options.streams, state.identity, state.clock, _peer_handler(state)
     )
--- a/packages/daemon/src/sardinerouted/entry/queues.py
+++ b/packages/daemon/src/sardinerouted/entry/queues.py
@@ -9,6 +9,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -23,9 +24,11 @@
 _MAX_LAG_MS = 5_000.0
 _MIN_CHARGE = 0.1
 _MIN_COST_MS = 0.1
+_BEHIND_TASKS = 3.0
 
 Costs = Mapping[str, float]
 JobKey = Callable[[jobs.Job], float]
+Burst = Callable[[], float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +61,14 @@
                 that some backend server has room for.
         """
 
+    def pick_first(self, costs_by_kind: Costs) -> jobs.Task | None:
+        """Takes a task whose team or kind has used less than its share.
+
+        Args:
+            costs_by_kind: Expected run time of each kind that such a task
+                can be placed of, past others that wait.
+        """
+
     def finish(self, task: jobs.Task, run_ms: float) -> None:
         """Says that a taken task ended after `run_ms` on a slot."""
 
@@ -70,6 +81,12 @@
     def counts(self) -> Iterator[Count]:
         """Yields the tasks of each kind of each team, for any thread."""
 
+    def queued_of(self, team: str, kind: str) -> int:
+        """Returns the number of queued tasks of a team's kind."""
+
+    def queued_of_team(self, team: str) -> int:
+        """Returns the number of queued tasks of a team."""
+
     def drain(self) -> list[jobs.Task]:
         """Removes and returns all queued tasks."""
 
@@ -92,13 +109,20 @@
 class FairQueue:
     """Queued tasks, shared among teams and their kinds by weight.
 
-    An idle team or kind builds up no credit; the others share its part.
-    The weights in force are read on each decision.
+    A team or kind that was idle may be ahead of the others by `burst_ms` of
+    slot time, and builds up no more credit than that; the others share what
+    it leaves. The weights in force are read on each decision.
     """
 
-    def __init__(self, holder: policy.PolicyHolder, job_key: JobKey) -> None:
+    def __init__(
+        self,
+        holder: policy.PolicyHolder,
+        job_key: JobKey,
+        burst_ms: Burst = lambda: 0.0,
+    ) -> None:
         self._holder = holder
         self._job_key = job_key
+        self._burst_ms = burst_ms
         self._teams_by_name: dict[str, _Team] = {}
         self._heaps_by_kind: dict[str, list[tuple[float, str]]] = {}
         self._queued_by_kind: dict[str, int] = {}
@@ -132,6 +156,20 @@
         flow = _best_flow(best, costs_by_kind)
         return self._take(best, flow, costs_by_kind[flow.kind])
 
+    def pick_first(self, costs_by_kind: Costs) -> jobs.Task | None:
+        """Takes a task whose team or kind has used less than its share.
+
+        The cost is O(log n), and linear in the kinds given.
+        """
+        for kind, cost_ms in costs_by_kind.items():
+            team = self._first_team(kind)
+            if team is None:
+                continue
+            flow = team.flows_by_kind[kind]
+            if self._is_behind(team, flow, cost_ms):
+                return self._take(team, flow, cost_ms)
+        return None
+
     def finish(self, task: jobs.Task, run_ms: float) -> None:
         """Corrects the charge of a task that ended after `run_ms`: O(1)."""
         if not task.charged_ms:
@@ -165,6 +203,19 @@
             for flow in list(team.flows_by_kind.values()):
                 yield Count(team.name, flow.kind, flow.queued, flow.running)
 
+    def queued_of(self, team: str, kind: str) -> int:
+        """Returns the number of queued tasks of a team's kind."""
+        known = self._teams_by_name.get(team)
+        flow = known.flows_by_kind.get(kind) if known else None
+        return flow.queued if flow else 0
+
+    def queued_of_team(self, team: str) -> int:
+        """Returns the number of queued tasks of a team."""
+        known = self._teams_by_name.get(team)
+        if known is None:
+            return 0
+        return sum(flow.queued for flow in known.flows_by_kind.values())
+
     def drain(self) -> list[jobs.Task]:
         """Removes and returns all queued tasks."""
         tasks: list[jobs.Task] = []
@@ -190,11 +241,12 @@
         submission = job.submission
         team = self._teams_by_name.get(submission.team)
         if team is None:
-            team = _Team(submission.team, self._virtual_ms)
+            team = _Team(submission.team, -math.inf)
             self._teams_by_name[team.name] = team
         flow = team.flows_by_kind.get(submission.kind)
         if flow is None:
             flow = flows.Flow(submission.kind)
+            flow.credit = math.inf
             team.flows_by_kind[flow.kind] = flow
         return team, flow
 
@@ -202,10 +254,12 @@
         if flow.queued:
             return
         active = [one for one in team.flows_by_kind.values() if one.queued]
+        burst_ms = self._burst_ms()
         if not active:
-            team.tag = max(team.tag, self._virtual_ms)
+            weight = self._holder.current.team(team.name).weight
+            team.tag = max(team.tag, self._virtual_ms - burst_ms / weight)
         level = max((one.credit for one in active), default=0.0)
-        flow.credit = min(flow.credit, level)
+        flow.credit = min(flow.credit, level + burst_ms)
 
     def _list(self, team: _Team, flow: flows.Flow) -> None:
         if flow.listed or not flow.queued:
@@ -237,6 +291,18 @@
                 return team
         return None
 
+    def _is_behind(self, team: _Team, flow: flows.Flow, cost_ms: float) -> bool:
+        """Returns whether a team or kind is owed more than a few tasks."""
+        margin_ms = cost_ms * _BEHIND_TASKS
+        weight = self._holder.current.team(team.name).weight
+        if (self._virtual_ms - team.tag) * weight > margin_ms:
+            return True
+        return any(
+            flow.credit - other.credit > margin_ms
+            for other in team.flows_by_kind.values()
+            if other.queued and other is not flow
+        )
+
     def _is_at_quota(self, team: _Team) -> bool:
         quota = self._holder.current.team(team.name).max_running_tasks
         team.parked = bool(quota) and team.running >= quota
@@ -244,6 +310,7 @@
 
     def _take(self, team: _Team, flow: flows.Flow, cost_ms: float) -> jobs.Task:
         task = flow.take()
+        task.first = self._is_behind(team, flow, cost_ms)
         task.charged_ms = max(cost_ms, _MIN_COST_MS)
         self._count(flow.kind, -1)
         team.running += 1
@@ -266,14 +333,19 @@
     ) -> None:
         """Pays a task's cost out to the kinds of its team by weight.
 
-        The part of an idle kind goes to the most urgent active ones, or, as
-        far as the kind has used more than its part before, to itself.
+        The part of an idle kind goes to itself until it is ahead by a burst,
+        then to the most urgent active ones.
         """
         options = self._holder.current.team(team.name)
+        limit_ms = self._burst_ms() + max(
+            flow.credit
+            for flow in team.flows_by_kind.values()
+            if flow.queued or flow is served
+        )
         names = set(options.kinds_by_name) | {
             name
             for name, flow in team.flows_by_kind.items()
-            if flow.queued or flow is served or flow.credit < 0.0
+            if flow.queued or flow is served or flow.credit < limit_ms
         }
         total = sum(options.kind(name).weight for name in names)
         spare_ms = 0.0
@@ -287,8 +359,8 @@
                 continue
             if flow is not None:
                 level = flow.credit + part_ms
-                flow.credit = min(0.0, level)
-                part_ms = max(0.0, level)
+                flow.credit = min(limit_ms, level)
+                part_ms = max(0.0, level - limit_ms)
             spare_ms += part_ms
         _pay_most_urgent(active, options, spare_ms)
         served.credit -= cost_ms
@@ -334,6 +406,11 @@
         self._running_by_flow[_label(task.job)] += 1
         return task
 
+    def pick_first(self, costs_by_kind: Costs) -> jobs.Task | None:
+        """Takes none: nobody passes others here."""
+        del costs_by_kind
+        return None
+
     def finish(self, task: jobs.Task, run_ms: float) -> None:
         """Says that a taken task ended."""
         del run_ms
@@ -359,6 +436,18 @@
         for label, queued in list(self._queued_by_flow.items()):
             yield Count(*label, queued, self._running_by_flow[label])
 
+    def queued_of(self, team: str, kind: str) -> int:
+        """Returns the number of queued tasks of a team's kind."""
+        return self._queued_by_flow[team, kind]
+
+    def queued_of_team(self, team: str) -> int:
+        """Returns the number of queued tasks of a team."""
+        return sum(
+            queued
+            for (name, _), queued in self._queued_by_flow.items()
+            if name == team
+        )
+
     def drain(self) -> list[jobs.Task]:
         """Removes and returns all queued tasks."""
         self._skip_ended()
--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -8,6 +8,7 @@
 from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardinerouted.entry import admission
 from sardinerouted.entry import backends
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import jobs
@@ -30,6 +31,7 @@
         clock: The monotonic time.
         ownership: Which entry is home to which partition.
         dispatcher: The tasks queued and sent.
+        admission: Which jobs are taken.
         policy: The configuration in force.
         servers_by_id: The backend servers announced.
         peers: The streams to other entries.
@@ -53,6 +55,7 @@
     clock: clock.Clock
     ownership: ownership.Ownership
     dispatcher: dispatch.Dispatcher
+    admission: admission.Admission
     policy: policy.PolicyHolder
     servers_by_id: dict[str, backends.BackendServer]
     peers: peers.Peers
--- a/packages/daemon/src/sardinerouted/sidecar/runner.py
+++ b/packages/daemon/src/sardinerouted/sidecar/runner.py
@@ -9,6 +9,9 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 
+_MAX_IDLE_MS = 4_000
+_CONNECT_TIMEOUT_MS = 1_000
+
 
 @dataclasses.dataclass(frozen=True)
 class Ending:
@@ -20,15 +23,45 @@
     run_ms: int
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    """A connection that is not used again after a while without use.
+
+    Something between the two ends may have lost track of an idle connection;
+    a task sent over it would have an unknown outcome.
+    """
+
+    _used_ns = 0
+
+    @property
+    def is_connected(self) -> bool:
+        """Returns whether the pool may use the connection again."""
+        idle_ms = (time.monotonic_ns() - self._used_ns) // 1_000_000
+        return idle_ms <= _MAX_IDLE_MS and super().is_connected
+
+    def getresponse(  # type: ignore[override]  # as in the base class
+        self,
+    ) -> urllib3.response.HTTPResponse:
+        """Returns the response to the last request."""
+        response = super().getresponse()
+        self._used_ns = time.monotonic_ns()
+        return response
+
+
+class _TlsConnection(_Connection, urllib3.connection.HTTPSConnection):
+    """The same over TLS."""
+
+
 class Runner:
     """Sends tasks to one backend server; used by several threads at once."""
 
     def __init__(self, options: settings.BackendServer) -> None:
         self._url = options.url.rstrip("/") + "/tasks"
         self._timeout_ms = options.task_timeout_ms
-        self._pool = urllib3.PoolManager(
-            maxsize=options.connections, retries=False, block=False
+        self._pool = urllib3.connection_from_url(
+            options.url, maxsize=options.connections, block=False
         )
+        secure = self._pool.scheme == "https"
+        self._pool.ConnectionCls = _TlsConnection if secure else _Connection
 
     def run(self, start: messages.Start) -> Ending:
         """Returns how the task ended; blocks until then.
@@ -56,7 +89,11 @@
                     "Task-Kind": start.kind,
                     "traceparent": start.traceparent,
                 },
-                timeout=urllib3.Timeout(total=timeout_ms / 1_000),
+                timeout=urllib3.Timeout(
+                    connect=_CONNECT_TIMEOUT_MS / 1_000,
+                    total=timeout_ms / 1_000,
+                ),
+                retries=False,
             )
         except (
             urllib3.exceptions.NewConnectionError,
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -1,9 +1,7 @@
 """Serves the entries: one task for each stream, one thread for each slot."""
 
 import asyncio
-import collections
 import concurrent.futures
-import dataclasses
 
 from sardineroute_core import clock
 from sardineroute_core import logs
@@ -12,18 +10,13 @@
 from sardineroute_core import streams
 from sardinerouted.sidecar import guard
 from sardinerouted.sidecar import runner
+from sardinerouted.sidecar import waiting
 
 MAX_KEPT_TASKS = 200_000
 
 _log = logs.part("sidecar")
 
 
-@dataclasses.dataclass(frozen=True)
-class _Queued:
-    start: messages.Start
-    connection: streams.Connection
-
-
 class Service:
     """The tasks of one backend server: waiting, running and ended."""
 
@@ -37,7 +30,7 @@
         self._executor = concurrent.futures.ThreadPoolExecutor(
             self._options.slots, thread_name_prefix="slot"
         )
-        self._waiting: collections.deque[_Queued] = collections.deque()
+        self._waiting = waiting.Waiting()
         self._connections_by_task_id: dict[str, streams.Connection] = {}
         self._connections: set[streams.Connection] = set()
         self._wanting: dict[streams.Connection, None] = {}
@@ -93,7 +86,10 @@
                 connection, start, messages.TaskOutcome.REFUSED_LEAVING
             )
             return
-        if self._is_full() and self._guard.find(start.task_id) is None:
+        if (
+            self._is_full(start.first)
+            and self._guard.find(start.task_id) is None
+        ):
             self._refuse(connection, start, messages.TaskOutcome.REFUSED_FULL)
             return
         decision = self._guard.decide(start)
@@ -103,7 +99,7 @@
             self._tell_same(connection, start, decision.known)
         else:
             self._connections_by_task_id[start.task_id] = connection
-            self._waiting.append(_Queued(start, connection))
+            self._waiting.add(waiting.Queued(start, connection))
             self._fill_slots()
 
     def _answer_ask(
@@ -172,20 +168,14 @@
         )
 
     def _cancel(self, cancel: messages.CancelTasks) -> None:
-        withdrawn = set(cancel.task_ids)
-        kept: collections.deque[_Queued] = collections.deque()
-        for queued in self._waiting:
-            if queued.start.task_id in withdrawn:
-                self._guard.forget(queued.start.task_id)
-                self._guard.fence(queued.start)
-                self._refuse(
-                    queued.connection,
-                    queued.start,
-                    messages.TaskOutcome.REFUSED_CANCELED,
-                )
-            else:
-                kept.append(queued)
-        self._waiting = kept
+        for queued in self._waiting.remove(frozenset(cancel.task_ids)):
+            self._guard.forget(queued.start.task_id)
+            self._guard.fence(queued.start)
+            self._refuse(
+                queued.connection,
+                queued.start,
+                messages.TaskOutcome.REFUSED_CANCELED,
+            )
 
     def _refuse(
         self,
@@ -195,10 +185,11 @@
     ) -> None:
         connection.send(self._result(start.task_id, outcome))
 
-    def _is_full(self) -> bool:
+    def _is_full(self, first: bool) -> bool:
         # Entries aim at the announced queue without knowing of each other's
         # latest starts; what they send too much waits rather than bounces.
-        return self._room() + self._options.slots <= 0
+        margin = self._options.slots * (2 if first else 1)
+        return self._room() + margin <= 0
 
     def _room(self) -> int:
         free = self._options.slots - self._busy
@@ -220,7 +211,7 @@
 
     def _fill_slots(self) -> None:
         while self._waiting and self._busy < self._options.slots:
-            queued = self._waiting.popleft()
+            queued = self._waiting.take()
             self._busy += 1
             run = asyncio.create_task(self._run(queued.start))
             self._runs.add(run)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,287 @@
+"""Refusals at once: limits by team and kind, deadlines, floods."""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+import threading
+import time
+import types
+from collections.abc import Callable
+
+import pytest
+
+from sardineroute_core import clock
+from sardineroute_core import errors
+from sardineroute_core import messages
+from sardineroute_core import policy
+from sardineroute_core import settings
+from sardineroute_standins import caller
+from sardineroute_standins import fleet as fleet_module
+from sardinerouted import membership
+from sardinerouted.entry import admission
+from sardinerouted.entry import backends
+from sardinerouted.entry import dispatch
+from sardinerouted.entry import jobs
+from sardinerouted.entry import leaserecords
+from sardinerouted.entry import ownership
+
+KIND = "receipt.issue"
+JOBS = 100
+PERIOD_S = 0.04
+FleetFactory = Callable[..., fleet_module.Fleet]
+
+
+class World:
+    """An admission before a dispatcher whose only server is not connected.
+
+    So all that is admitted stays queued.
+    """
+
+    def __init__(self, team: policy.TeamPolicy) -> None:
+        time_ = clock.FakeClock().clock()
+        holder = policy.PolicyHolder()
+        holder.replace(
+            policy.Policy(
+                version=1, teams_by_name=types.MappingProxyType({"a": team})
+            )
+        )
+        member = leaserecords.Member("entry-1", "1", "127.0.0.1", 1)
+        owned = ownership.Ownership(member, settings.Ownership(), time_)
+        announcement = membership.Announcement(
+            id="sidecar-1",
+            role=messages.Role.SIDECAR,
+            incarnation="1",
+            host="127.0.0.1",
+            port=1,
+            failure_domain="domain-1",
+            region="region-1",
+            kinds=(KIND, "receipt.verify"),
+            slots=8,
+            queue=2,
+        )
+        servers = {"sidecar-1": backends.BackendServer(announcement, time_)}
+        self.dispatcher = dispatch.Dispatcher(time_, servers, owned, holder)
+        self.admission = admission.Admission(holder, self.dispatcher)
+        self._jobs = 0
+
+    def submit(
+        self, tasks: int = 1, kind: str = KIND, timeout_ms: int = 60_000
+    ) -> errors.Error | None:
+        """Submits a job; returns the refusal, None where it is queued."""
+        self._jobs += 1
+        submission = jobs.Submission(
+            "a", f"{self._jobs}", b"", kind, (b"1",) * tasks, timeout_ms, ""
+        )
+        try:
+            self.admission.check_job(submission)
+        except errors.Error as error:
+            return error
+        job = jobs.Job(submission, 0)
+        job.prove()
+        self.dispatcher.queue.add(job)
+        return None
+
+
+def in_loop(test: Callable[[], None]) -> None:
+    async def run() -> None:
+        test()
+
+    asyncio.run(run())
+
+
+def code(error: errors.Error | None) -> str:
+    return error.kind.value if error else ""
+
+
+def test_kinds_that_can_not_run_are_refused() -> None:
+    team = policy.TeamPolicy(
+        kinds_by_name={KIND: policy.KindPolicy(), "none": policy.KindPolicy()}
+    )
+
+    def test() -> None:
+        world = World(team)
+        assert world.submit() is None
+        assert code(world.submit(kind="receipt.verify")) == "unknown_kind"
+        assert code(world.submit(kind="none")) == "cannot_run"
+
+    in_loop(test)
+
+
+@pytest.mark.parametrize(
+    ("limits", "free_kind"),
+    [
+        (
+            policy.TeamPolicy(
+                kinds_by_name={
+                    KIND: policy.KindPolicy(max_queued_tasks=100),
+                    "receipt.verify": policy.KindPolicy(),
+                }
+            ),
+            True,
+        ),
+        (policy.TeamPolicy(max_queued_tasks=100), False),
+    ],
+)
+def test_queued_tasks_are_limited_by_kind_and_team(
+    limits: policy.TeamPolicy, free_kind: bool
+) -> None:
+    def test() -> None:
+        world = World(limits)
+        assert world.submit(tasks=99) is None
+        refused = world.submit(tasks=2)
+        assert code(refused) == "quota_exceeded"
+        assert refused is not None
+        assert refused.ran is errors.Ran.NO
+        assert refused.retry_after_ms > 0
+        assert world.submit(tasks=1) is None
+        other = world.submit(kind="receipt.verify")
+        assert (other is None) == free_kind
+
+    in_loop(test)
+
+
+def test_waiting_callers_are_limited_and_let_in_again() -> None:
+    kinds = {
+        KIND: policy.KindPolicy(max_waiting_callers=2),
+        "receipt.verify": policy.KindPolicy(),
+    }
+    team = policy.TeamPolicy(max_waiting_callers=3, kinds_by_name=kinds)
+
+    def test() -> None:
+        world = World(team)
+        with world.admission.waiting("a", KIND):
+            assert world.submit() is None
+            with world.admission.waiting("a", KIND):
+                assert code(world.submit()) == "quota_exceeded"
+                assert world.submit(kind="receipt.verify") is None
+                with world.admission.waiting("a", "receipt.verify"):
+                    refused = world.submit(kind="receipt.verify")
+                    assert code(refused) == "quota_exceeded"
+        assert world.submit() is None
+
+    in_loop(test)
+
+
+def test_job_that_can_not_finish_in_time_is_refused_early() -> None:
+    def test() -> None:
+        world = World(policy.TeamPolicy())
+        # Nothing is known of the kind yet, so nothing is refused.
+        assert world.submit(tasks=1_000, timeout_ms=10) is None
+        for _ in range(100):
+            world.dispatcher.speeds.learn(KIND, "sidecar-1", 100.0)
+        # 1,000 tasks of 100 ms wait for 8 slots: 12.5 s.
+        refused = world.submit(timeout_ms=5_000)
+        assert code(refused) == "overloaded"
+        assert refused is not None
+        assert refused.ran is errors.Ran.NO
+        assert 5_000 < refused.retry_after_ms < 10_000
+        assert world.submit(timeout_ms=20_000) is None
+
+    in_loop(test)
+
+
+def submit(
+    fleet: fleet_module.Fleet, index: int, job: caller.Job, team: str
+) -> caller.Outcome:
+    urls = list(fleet.entry_urls_by_name.values())
+    token = fleet.secrets.team_tokens_by_name[team]
+    return caller.submit(fleet.http, urls[index % len(urls)], token, job)
+
+
+@dataclasses.dataclass(frozen=True)
+class Flooded:
+    """Response times of the other work, and times of the flood's refusals."""
+
+    alone_ms: list[float]
+    during_ms: list[float]
+    refusals_ms: list[float]
+
+
+def flooded(small: fleet_module.Fleet) -> Flooded:
+    """Measures a third of a fleet's capacity without and with a flood."""
+    small.http.connection_pool_kw["maxsize"] = 64
+    work(small, "warm-up")
+    alone_ms = work(small, "alone")
+    stop = threading.Event()
+    with concurrent.futures.ThreadPoolExecutor(24) as pool:
+        flood = [
+            pool.submit(flood_until, small, stop, index) for index in range(24)
+        ]
+        try:
+            # By then the flood's queue is full.
+            stop.wait(1.0)
+            during_ms = work(small, "during")
+        finally:
+            stop.set()
+        refusals_ms = sorted(
+            took_ms for one in flood for took_ms in one.result()
+        )
+    return Flooded(alone_ms, during_ms, refusals_ms)
+
+
+def test_flood_is_refused_at_once_and_takes_no_throughput(
+    fleet: FleetFactory,
+) -> None:
+    measured = flooded(fleet(entries=2, backend_servers=3, queue=2))
+    # Every job of the other work was answered, at the rate it came.
+    assert len(measured.during_ms) == JOBS
+    assert measured.during_ms[-1] < 0.05 * JOBS * PERIOD_S * 1_000 + 1_000
+    assert len(measured.refusals_ms) >= 20
+    assert percentile(measured.refusals_ms, 0.99) < 50.0
+
+
+def test_flood_leaves_the_response_time_of_other_work(
+    fleet: FleetFactory,
+) -> None:
+    measured = flooded(fleet(entries=2, backend_servers=3, queue=2))
+    limit_ms = 1.5 * percentile(measured.alone_ms, 0.99)
+    assert percentile(measured.during_ms, 0.99) <= limit_ms
+
+
+def work(fleet: fleet_module.Fleet, name: str) -> list[float]:
+    """Submits a third of the fleet's capacity; returns response times."""
+
+    def one(index: int) -> float:
+        began_s = time.monotonic()
+        job = caller.Job(
+            f"{name}-{index}", "order.price", [{"run_ms": 200}] * 4
+        )
+        assert submit(fleet, index, job, "zidani").status == 200
+        return (time.monotonic() - began_s) * 1_000
+
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        futures = []
+        for index in range(JOBS):
+            futures.append(pool.submit(one, index))
+            # 60 units of work a second are the capacity; 20 are asked for.
+            time.sleep(PERIOD_S)
+        return sorted(future.result() for future in futures)
+
+
+def flood_until(
+    fleet: fleet_module.Fleet, stop: threading.Event, index: int
+) -> list[float]:
+    """Submits jobs until told to stop; returns the times of refusals."""
+    refusals_ms = []
+    count = 0
+    while not stop.is_set():
+        count += 1
+        job = caller.Job(
+            f"flood-{index}-{count}",
+            "receipt.issue",
+            [{"run_ms": 300}] * 100,
+            timeout_ms=4_000,
+        )
+        began_s = time.monotonic()
+        outcome = submit(fleet, index, job, "anrc")
+        took_ms = (time.monotonic() - began_s) * 1_000
+        if outcome.code in ("overloaded", "quota_exceeded"):
+            assert outcome.ran == "no"
+            refusals_ms.append(took_ms)
+            # The answer asks to wait at least this long.
+            time.sleep(0.2)
+    return refusals_ms
+
+
+def percentile(ordered: list[float], part: float) -> float:
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -135,6 +135,44 @@
     assert served["b", "k"] == pytest.approx(served["a", "k"], rel=0.02)
 
 
+def test_team_that_was_idle_is_ahead_by_the_burst_at_most() -> None:
+    burst_ms = 20 * RUN_MS
+    queue = queues.FairQueue(make_holder(), lambda job: 0.0, lambda: burst_ms)
+    queue.add(make_job("a", "k", 5_000, "1"))
+    serve(queue, 2_000)
+    queue.add(make_job("b", "k", 2_000, "2"))
+    owed = pick_first(queue)
+    assert {task.job.submission.team for task in owed} == {"b"}
+    served = serve(queue, 1_000)
+    ahead_ms = len(owed) * RUN_MS + served["b", "k"] - served["a", "k"]
+    assert ahead_ms == pytest.approx(burst_ms, abs=2 * RUN_MS)
+    # Once level, neither is owed time.
+    assert not pick_first(queue)
+
+
+def pick_first(queue: queues.FairQueue) -> list[jobs.Task]:
+    """Takes all tasks that are owed time."""
+    taken = []
+    while task := queue.pick_first({"k": RUN_MS}):
+        taken.append(task)
+    return taken
+
+
+def test_kind_beside_a_flood_of_its_team_is_owed_time() -> None:
+    queue = queues.FairQueue(
+        make_holder(), lambda job: 0.0, lambda: 20 * RUN_MS
+    )
+    queue.add(make_job("a", "flood", 5_000, "1"))
+    serve(queue, 1_000)
+    assert queue.pick_first({"flood": RUN_MS}) is None
+    queue.add(make_job("a", "other", 10, "2"))
+    costs = {"flood": RUN_MS, "other": RUN_MS}
+    task = queue.pick_first(costs)
+    assert task is not None
+    assert task.job.submission.kind == "other"
+    assert task.first
+
+
 def test_blocked_kind_holds_up_no_other_kind() -> None:
     queue = make_queue(make_holder())
     queue.add(make_job("a", "blocked", 10, "1"))
