--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -1,7 +1,5 @@
 """Puts the parts of an entry together."""
 
-import asyncio
-
 from sardineroute_core import clock
 from sardineroute_core import ids
 from sardineroute_core import messages
@@ -12,6 +10,7 @@
 from sardinerouted import membership
 from sardinerouted.entry import admission
 from sardinerouted.entry import backends
+from sardinerouted.entry import configuration
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import home
 from sardinerouted.entry import jobs
@@ -26,7 +25,6 @@
 from sardinerouted.entry import state as entry_state
 from sardinerouted.entry import witness
 
-_SOLO_CHECKS_IN_LEASE = 6
 _BEYOND_END = 2**53
 
 
@@ -47,12 +45,12 @@
     place = dispatch.Place(options.failure_domain, options.region)
     dispatcher = dispatch.Dispatcher(time, servers_by_id, owned, holder, place)
     retention_ms = options.ownership.retention_ms
-    table = witness.Table(time)
+    table = witness.Table(time, options.ownership.partitions)
     keeping = keeper.Keeper(
         owned,
         log,
         lambda session, for_ms: _ask_promise(entries, owned, session, for_ms),
-        lambda partition: not home.running_in(state, {partition}),
+        lambda partition: not state.running_by_partition[partition],
     )
     asked = questions.Questions(
         servers_by_id,
@@ -69,6 +67,9 @@
         dispatcher=dispatcher,
         admission=admission.Admission(holder, dispatcher),
         policy=holder,
+        configuration=configuration.Configuration(holder, time),
+        log=log,
+        announcement=_announcement(options, identity),
         servers_by_id=servers_by_id,
         peers=entries,
         table=table,
@@ -90,19 +91,18 @@
     )
     owned.listeners.gained = lambda gains: home.gained(state, gains)
     owned.listeners.lost = lambda partitions: home.lost(state, partitions)
+    owned.doubtful = state.recovery.doubtful
     owned.listeners.witnessed = lambda marks: _remember(table, marks)
     return state
 
 
-async def clear_solo(state: entry_state.EntryState) -> None:
-    """Passes on, for ever, what no other member knows yet."""
-    period_ms = state.options.ownership.lease_ms // _SOLO_CHECKS_IN_LEASE
+async def keep_copies(state: entry_state.EntryState) -> None:
+    """Passes on, for ever, what too few other members know."""
     while True:
-        await asyncio.sleep(period_ms / 1_000)
-        if state.recovery.doubtful():
-            state.ownership.solo = True
-        else:
-            await state.desk.clear_solo()
+        changed = state.ownership.changed
+        await state.desk.clear_solo()
+        await state.desk.repair()
+        await changed.wait()
 
 
 async def _membership_end(log: platformlog.PlatformLog) -> int:
@@ -119,6 +119,22 @@
     )
 
 
+def _announcement(
+    options: settings.Entry, identity: streams.Identity
+) -> membership.Announcement:
+    address = options.streams.advertise or options.streams.listen
+    return membership.Announcement(
+        id=identity.id,
+        role=messages.Role.ENTRY,
+        incarnation=identity.incarnation,
+        host=address.hostname,
+        port=address.port,
+        failure_domain=options.failure_domain,
+        region=options.region,
+        valid_ms=options.membership.valid_ms,
+    )
+
+
 async def _ask_promise(
     entries: peers.Peers,
     owned: ownership.Ownership,
--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -10,6 +10,7 @@
 from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
 from sardinerouted.entry import queries
+from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
 
 
@@ -17,6 +18,11 @@
     state: entry_state.EntryState, peer: streams.Identity, request: Any
 ) -> Any:
     """Returns the answer to a peer's call; errors travel as outcomes."""
+    if isinstance(request, messages.StateRequest):
+        return seeds.reply(state, request)
+    if isinstance(request, messages.Drain):
+        state.stopping.set()
+        return messages.Leaving(f"asked by {request.who}")
     if isinstance(request, messages.Witness):
         return _witness(state, request)
     if isinstance(request, messages.Survey):
@@ -66,7 +72,7 @@
         incarnation=state.identity.incarnation,
         losses_before=owned.old_losses_before(horizon_ms),
         doubtful=tuple(set(state.recovery.doubtful()) & partitions),
-        marks=tuple(state.table.marks_in(partitions, options.partitions)),
+        marks=tuple(state.table.marks_in(partitions)),
         kept=tuple(
             job_id
             for job_id in state.former_jobs_by_id
@@ -78,11 +84,7 @@
 def _promise(
     state: entry_state.EntryState, request: messages.Promise
 ) -> messages.Promised:
-    owned = state.ownership
-    session = owned.fold.active(request.session)
-    if session is None or not owned.joined:
-        return messages.Promised(request.id, False)
-    given = owned.promises.give(session.id, session.renewed, request.for_ms)
+    given = state.ownership.promise(request.session, request.for_ms)
     return messages.Promised(request.id, given)
 
 
--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/commands.py
@@ -1,10 +1,12 @@
 """What callers and operators can change: submit and cancel jobs."""
 
 import asyncio
+import dataclasses
 
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardineroute_core import traces
 from sardinerouted.entry import home
 from sardinerouted.entry import jobs
 from sardinerouted.entry import loadmetrics
@@ -32,16 +34,17 @@
             lambda: _request(state, submission),
             submission.timeout_ms,
             lambda: submit_here(state, submission, witnessed=False),
+            submission.traceparent,
         )
+        refused = outcome.ran == errors.Ran.NO
+        if refused and not was_known and forwarded[job_id] == 1:
+            # The home entry has forgotten the job, and so may we.
+            state.table.forget(job_id)
+        return outcome
     finally:
         forwarded[job_id] -= 1
         if not forwarded[job_id]:
             del forwarded[job_id]
-    refused = outcome.ran == errors.Ran.NO
-    if refused and not was_known and job_id not in forwarded:
-        # The home entry has forgotten the job, and so may we.
-        state.table.forget(job_id)
-    return outcome
 
 
 def _request(
@@ -76,6 +79,17 @@
     Raises:
         errors.Error: The job was refused, or has moved to another entry.
     """
+    about = {"job.id": submission.job_id}
+    with traces.span("run job", submission.traceparent, about) as span:
+        traced = dataclasses.replace(submission, traceparent=span.traceparent)
+        return await _run_here(state, traced, witnessed)
+
+
+async def _run_here(
+    state: entry_state.EntryState,
+    submission: jobs.Submission,
+    witnessed: bool,
+) -> messages.Outcome:
     job = state.jobs_by_id.get(submission.job_id)
     if job is None:
         job = _start(state, submission, witnessed)
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -16,6 +16,7 @@
 from sardinerouted.entry import queues
 from sardinerouted.entry import rates
 from sardinerouted.entry import speeds
+from sardinerouted.entry import tasktraces
 
 # With tasks queued, looks again at least so often; sends nothing by itself.
 _RECHECK_MS = 250
@@ -30,6 +31,7 @@
     {
         messages.TaskOutcome.REFUSED_FULL,
         messages.TaskOutcome.REFUSED_CANCELED,
+        messages.TaskOutcome.NEVER_SEEN,
     }
 )
 
@@ -195,6 +197,7 @@
         for task in tasks:
             server.remove(task.id)
             task.phase = jobs.Phase.UNKNOWN
+            tasktraces.ended(task, messages.TaskOutcome.UNKNOWN)
             self._finish(task, 0.0)
             task.job.fail(
                 errors.Kind.OUTCOME_UNKNOWN,
@@ -287,29 +290,8 @@
         if task.job.state is not jobs.State.RUNNING:
             self._finish(task, 0.0)
             return True
-        if server.id in task.excluded_server_ids:
-            kind = task.job.submission.kind
-            others = self._choose(
-                choice.Request(
-                    kind, self.servers_of(kind), 1, task.excluded_server_ids
-                )
-            )
-            if others.server is None:
-                self._put_back_or_fail(task)
-                return False
-            server = others.server
         return self._send(server, task)
 
-    def _put_back_or_fail(self, task: jobs.Task) -> None:
-        kind = task.job.submission.kind
-        ids = {server.id for server in self.servers_of(kind)}
-        self._queue.put_back(task)
-        if ids <= task.excluded_server_ids:
-            task.job.fail(
-                errors.Kind.CANNOT_RUN,
-                f"every worker of kind {kind!r} was told not to start a task",
-            )
-
     def _send(self, server: backends.BackendServer, task: jobs.Task) -> bool:
         submission = task.job.submission
         grant = self._ownership.grant_of(task.job.id)
@@ -346,7 +328,7 @@
                 kind=submission.kind,
                 payload=task.payload,
                 timeout_ms=max(1, task.job.deadline_ms - now_ms),
-                traceparent=submission.traceparent,
+                traceparent=tasktraces.sent(task),
                 first=task.first,
             )
         )
@@ -367,6 +349,7 @@
         result: messages.Result,
     ) -> None:
         outcome = messages.TaskOutcome(result.outcome)
+        tasktraces.ended(task, outcome)
         if outcome.never_started:
             self._requeue(server, task, outcome)
             return
@@ -380,7 +363,12 @@
             self.speeds.learn(kind, server.id, float(result.run_ms))
             task.job.answer(task, result.body)
             return
-        self.health.failed(server.id, task.id, task.job.id)
+        cut_short = outcome is messages.TaskOutcome.TIMED_OUT and (
+            result.run_ms < task.expected_ms * _OVERDUE_RATIO
+        )
+        if not cut_short:
+            # A task cut short by its job's deadline is not the server's fault.
+            self.health.failed(server.id, task.id, task.job.id)
         self._fail(task, outcome, result.detail)
 
     def _fail(
@@ -409,9 +397,7 @@
     ) -> None:
         """Queues a task again that provably did not start."""
         task.phase = jobs.Phase.QUEUED
-        if outcome is messages.TaskOutcome.NEVER_SEEN:
-            task.excluded_server_ids |= {server.id}
-        elif outcome not in _EXPECTED_REFUSALS:
+        if outcome not in _EXPECTED_REFUSALS:
             self.health.refused(server.id, task.id)
         if task.job.state is jobs.State.RUNNING:
             self._queue.put_back(task)
--- a/packages/daemon/src/sardinerouted/entry/front.py
+++ b/packages/daemon/src/sardinerouted/entry/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sardinerouted.entry import admin_handlers
 from sardinerouted.entry import auth
 from sardinerouted.entry import job_handlers
 from sardinerouted.entry import queries
@@ -21,6 +22,7 @@
     table = routes.Table(
         [
             *job_handlers.table(state, handover, tokens),
+            *admin_handlers.table(state, handover, tokens),
             *health.table(lambda: queries.is_ready(state)),
         ]
     )
--- a/packages/daemon/src/sardinerouted/entry/job_handlers.py
+++ b/packages/daemon/src/sardinerouted/entry/job_handlers.py
@@ -1,13 +1,16 @@
 """The callers' interface: submit, show and cancel jobs over HTTP."""
 
+import dataclasses
 import json
 from collections.abc import Coroutine
 from typing import Any
 
 from sardineroute_core import errors
 from sardineroute_core import messages
+from sardineroute_core import traces
 from sardinerouted.entry import auth
 from sardinerouted.entry import commands
+from sardinerouted.entry import jobmetrics
 from sardinerouted.entry import jobs
 from sardinerouted.entry import parsing
 from sardinerouted.entry import queries
@@ -30,7 +33,7 @@
     def submit(request: requests.Request) -> routes.Pending:
         team = tokens.team(request)
         submission = parsing.submission(request, team, state.policy.current)
-        call = commands.submit(state, submission)
+        call = _submit(state, submission)
         return pending(call, submission.timeout_ms)
 
     def show(request: requests.Request) -> routes.Pending:
@@ -57,6 +60,29 @@
     ]
 
 
+async def _submit(
+    state: entry_state.EntryState, submission: jobs.Submission
+) -> messages.Outcome:
+    about: traces.Attributes = {
+        "job.key": submission.key,
+        "job.id": submission.job_id,
+        "team": submission.team,
+        "kind": submission.kind,
+        "tasks": len(submission.tasks),
+    }
+    began_ms = state.clock.now_ms()
+    with traces.span("submit", submission.traceparent, about) as span:
+        traced = dataclasses.replace(submission, traceparent=span.traceparent)
+        try:
+            outcome = await commands.submit(state, traced)
+        except errors.Error as error:
+            outcome = jobs.to_error_outcome(submission.job_id, error, 0)
+        span.end(outcome.code)
+    took_ms = state.clock.now_ms() - began_ms
+    jobmetrics.observe(submission, outcome, took_ms / 1_000)
+    return outcome
+
+
 def render(outcome: messages.Outcome) -> responses.Response:
     """Returns the response that tells where a job stands."""
     if outcome.state == jobs.State.COMPLETE:
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -8,6 +8,7 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
+from sardineroute_core import traces
 
 MAX_TIMEOUT_MS = 600_000
 
@@ -64,7 +65,8 @@
     `spread_ms` its usual deviation, `ends_ms` when it should end,
     `overdue_ms` the time after which it is far too late, and `charged_ms`
     what its team's share was charged for it. It goes `first` at its server
-    when its team or kind has used less than its share.
+    when its team or kind has used less than its share. `queued_ns` is when it
+    was queued again, and `span` its trace at the server.
     """
 
     id: str
@@ -77,13 +79,14 @@
     sent_ms: int = 0
     epoch: int = 0
     attempt: int = 0
-    excluded_server_ids: frozenset[str] = frozenset()
     expected_ms: float = 0.0
     spread_ms: float = 0.0
     ends_ms: float = 0.0
     overdue_ms: int = 0
     charged_ms: float = 0.0
     first: bool = False
+    queued_ns: int = 0
+    span: traces.Span = traces.NONE
 
 
 class Job:
@@ -91,6 +94,7 @@
 
     Attributes:
         submission: What the caller submitted.
+        queued_ns: When its tasks were queued first.
         tasks: The tasks in the caller's order.
         tasks_by_id: The same tasks by id.
         deadline_ms: When the caller's timeout ends, in the entry's time.
@@ -111,6 +115,7 @@
         holds: Callable[[], bool] = lambda: True,
     ) -> None:
         self.submission = submission
+        self.queued_ns = traces.now_ns()
         self.partition = partition
         self.holds = holds
         self.id = submission.job_id
--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -70,7 +70,7 @@
         )
         try:
             while True:
-                self._step()
+                self.step()
                 await self._wait()
         finally:
             following.cancel()
@@ -112,7 +112,8 @@
         await asyncio.wait([changed], timeout=step_s)
         changed.cancel()
 
-    def _step(self) -> None:
+    def step(self) -> None:
+        """Does what is due now; appends go on by themselves."""
         owned = self._owned
         if not owned.complete:
             self._begin_log()
@@ -153,8 +154,7 @@
             return
         if not owned.at_end or owned.leaving:
             return
-        owned.own.begin(ids.new_id())
-        owned.solo = not owned.others()
+        owned.begin_session(ids.new_id())
         self._number = 0
         terms = owned.terms(self._number)
         start = leaserecords.Start(owned.own.session, owned.member, terms)
@@ -162,12 +162,11 @@
 
     def _renew(self) -> None:
         owned = self._owned
-        if not owned.others() and not owned.solo:
-            owned.solo = True
-        is_new = owned.solo and not owned.solo_declared
+        if not owned.others():
+            owned.declare_solo()
         period_ms = self._lease_ms // _RENEWALS_IN_LEASE
-        if is_new:
-            period_ms //= _RENEWALS_IN_LEASE
+        if owned.has_news():
+            period_ms //= _RENEWALS_IN_LEASE * _STEPS_IN_LEASE
         if self._clock.now_ms() - owned.own.sent_ms < period_ms:
             return
         self._number += 1
--- a/packages/daemon/src/sardinerouted/entry/leasefold.py
+++ b/packages/daemon/src/sardinerouted/entry/leasefold.py
@@ -37,10 +37,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Holding:
-    """Who holds a partition; `epoch` is the offset of the claim."""
+    """Who holds a partition.
+
+    Attributes:
+        session: The holder's session.
+        epoch: The offset of the claim.
+        had_holder: Whether there was an earlier holder, whose jobs this one
+            has to learn of.
+    """
 
     session: str
     epoch: int
+    had_holder: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,10 +58,14 @@
     Attributes:
         incarnation: The holder's incarnation.
         solo: Whether it may have started jobs that no other member knows.
+        doubtful: Whether it may not have known all jobs itself.
+        repaired: Losses of members before this offset do not matter.
     """
 
     incarnation: str
     solo: bool
+    doubtful: bool = False
+    repaired: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,11 +136,22 @@
                 for session in self.sessions_by_id.values()
             ],
             "holdings": [
-                [partition, holding.session, holding.epoch]
+                [
+                    partition,
+                    holding.session,
+                    holding.epoch,
+                    holding.had_holder,
+                ]
                 for partition, holding in self.holdings_by_partition.items()
             ],
             "previous": [
-                [partition, previous.incarnation, previous.solo]
+                [
+                    partition,
+                    previous.incarnation,
+                    previous.solo,
+                    previous.doubtful,
+                    previous.repaired,
+                ]
                 for partition, previous in self.previous_by_partition.items()
             ],
             "losses": [[loss.incarnation, loss.offset] for loss in self.losses],
@@ -173,8 +196,9 @@
                 self._end(session)
                 loss = Loss(session.member.incarnation, offset)
                 self.losses.append(loss)
-        holding = Holding(record.session, offset)
         for partition in record.partitions:
+            had_holder = partition in self.previous_by_partition
+            holding = Holding(record.session, offset, had_holder)
             self.holdings_by_partition.setdefault(partition, holding)
         return True
 
@@ -184,7 +208,9 @@
             return False
         for partition, epoch in record.holdings:
             holding = self.holdings_by_partition.get(partition)
-            if holding == Holding(session.id, epoch):
+            if holding is None or holding.session != session.id:
+                continue
+            if holding.epoch == epoch:
                 self._free(partition, session)
         return True
 
@@ -201,9 +227,15 @@
         del self.sessions_by_id[session.id]
 
     def _free(self, partition: int, session: Session) -> None:
-        del self.holdings_by_partition[partition]
+        holding = self.holdings_by_partition.pop(partition)
+        terms = session.terms
+        # Terms written before the holder read its claim don't speak of it.
+        is_unspoken = terms.seen <= holding.epoch
         self.previous_by_partition[partition] = Previous(
-            session.member.incarnation, session.terms.solo
+            session.member.incarnation,
+            terms.solo,
+            partition in terms.doubtful or (holding.had_holder and is_unspoken),
+            terms.repaired,
         )
 
 
@@ -232,11 +264,14 @@
             bool(item["superseded"]),
         )
         fold.sessions_by_id[session.id] = session
-    for partition, session_id, epoch in snapshot.state["holdings"]:
-        holding = Holding(str(session_id), int(epoch))
+    for partition, session_id, epoch, doubt in snapshot.state["holdings"]:
+        holding = Holding(str(session_id), int(epoch), bool(doubt))
         fold.holdings_by_partition[int(partition)] = holding
-    for partition, incarnation, solo in snapshot.state["previous"]:
-        previous = Previous(str(incarnation), bool(solo))
+    for item in snapshot.state["previous"]:
+        partition, incarnation, solo, doubtful, repaired = item
+        previous = Previous(
+            str(incarnation), bool(solo), bool(doubtful), int(repaired)
+        )
         fold.previous_by_partition[int(partition)] = previous
     for incarnation, offset in snapshot.state["losses"]:
         fold.losses.append(Loss(str(incarnation), int(offset)))
@@ -284,7 +319,7 @@
         """Takes the next record.
 
         Returns:
-            The records that this made part of the state.
+            The records that this made part of the state, and earlier ones.
         """
         self._read_to = offset + 1
         if self.complete:
@@ -320,7 +355,8 @@
         later = [item for item in self._pending if item[0] >= snapshot.at]
         for offset, record in later:
             fold.apply(offset, record)
+        read = [record for _, record in self._pending]
         self.fold = fold
         self.complete = True
         self._pending = []
-        return [record for _, record in later]
+        return read
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -1,24 +1,33 @@
 """The entry process: starts its parts, and stops them in order."""
 
 import asyncio
+import random
 
+from sardineroute_core import errors
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import platformlog
+from sardineroute_core import publication
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import traces
 from sardinerouted import httpd
 from sardinerouted import membership
+from sardinerouted import shutdown
 from sardinerouted import signals
+from sardinerouted import supervision
 from sardinerouted.entry import assembly
 from sardinerouted.entry import calls
 from sardinerouted.entry import dispatch
+from sardinerouted.entry import distribution
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
 from sardinerouted.entry import loadmetrics
 from sardinerouted.entry import peers
+from sardinerouted.entry import publisher
 from sardinerouted.entry import roster
+from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
 from sardinerouted.web import options as web_options
 
@@ -28,66 +37,85 @@
 def run(options: settings.Entry) -> int:
     """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
-    return asyncio.run(_main(options))
+    traces.configure(options.traces, options.id)
+    return shutdown.run(_main(options))
 
 
 async def _main(options: settings.Entry) -> int:
-    log = platformlog.PlatformLog(options.log)
-    state = assembly.new_state(options, log)
-    fleet = roster.Roster(state)
+    state = assembly.new_state(options, platformlog.PlatformLog(options.log))
     loadmetrics.register(state.dispatcher)
+    signals.install(state.stopping)
+    supervisor = supervision.Supervisor()
+    supervisor.watch_loop()
     server = await streams.serve(
         options.streams, state.identity, state.clock, _peer_handler(state)
     )
-    background = [
-        asyncio.create_task(
-            platformlog.follow(log, membership.STREAM, fleet.take)
+    fleet = roster.Roster(state, supervisor.start)
+    _start_background(state, fleet, supervisor)
+    announcing = supervisor.start(
+        "announcement",
+        membership.keep_announced(
+            state.log, state.announcement, asyncio.Event()
         ),
-        asyncio.create_task(membership.publish(log, _announcement(state))),
-        asyncio.create_task(
-            links.watch_silence(
-                state.servers_by_id,
-                options.streams.silence_ms,
-                options.streams.unreachable_ms,
-                state.clock,
-                state.dispatcher,
-            )
-        ),
-        asyncio.create_task(state.keeper.run()),
-        asyncio.create_task(assembly.clear_solo(state)),
-        asyncio.create_task(dispatch.watch_overdue(state.dispatcher)),
-    ]
+    )
     httpd.start(
         front.build(state, asyncio.get_running_loop()),
         web_options.for_entry(options.http),
     )
     _log.info("Serving.", id=options.id)
-    await signals.stop_requested()
-    await _drain(state, log)
+    await signals.first_set(state.stopping, supervisor.failed)
+    if supervisor.failed.is_set():
+        return errors.EXIT_FAILED
+    announcing.cancel()
+    await _drain(state)
     await asyncio.to_thread(httpd.stop)
-    for task in background:
-        task.cancel()
     fleet.close()
+    await supervisor.stop()
     state.peers.close()
     server.close()
-    log.close()
-    _log.info("Stopped.")
+    state.log.close()
     return 0
 
 
-def _announcement(
+def _start_background(
     state: entry_state.EntryState,
-) -> membership.Announcement:
-    address = state.options.streams.advertise or state.options.streams.listen
-    return membership.Announcement(
-        id=state.identity.id,
-        role=messages.Role.ENTRY,
-        incarnation=state.identity.incarnation,
-        host=address.hostname,
-        port=address.port,
-        failure_domain=state.options.failure_domain,
-        region=state.options.region,
+    fleet: roster.Roster,
+    supervisor: supervision.Supervisor,
+) -> None:
+    log = state.log
+    current = state.configuration
+    options = state.options
+    chance = random.Random()
+    distributor = distribution.Distributor(
+        state.servers_by_id,
+        state.policy,
+        options.streams.silence_ms,
+        state.clock,
     )
+    work_by_name = {
+        "membership": platformlog.follow(log, membership.STREAM, fleet.take),
+        "roster": fleet.sweep(),
+        "configuration": platformlog.follow(
+            log, publication.STREAM, current.take
+        ),
+        "snapshots": publisher.keep_snapshots(
+            log, current, options.log.retention_ms, state.clock, chance
+        ),
+        "peers' state": seeds.keep_informed(state, fleet, chance),
+        "distribution": distributor.run(current),
+        "silence": links.watch_silence(
+            state.servers_by_id,
+            options.streams.silence_ms,
+            options.streams.unreachable_ms,
+            state.clock,
+            state.dispatcher,
+        ),
+        "leases": state.keeper.run(),
+        "solo": assembly.keep_copies(state),
+        "overdue": dispatch.watch_overdue(state.dispatcher),
+    }
+    for name, work in work_by_name.items():
+        supervisor.start(name, work)
 
 
 def _peer_handler(
@@ -103,9 +131,7 @@
     return handle
 
 
-async def _drain(
-    state: entry_state.EntryState, log: platformlog.PlatformLog
-) -> None:
+async def _drain(state: entry_state.EntryState) -> None:
     """Takes no new job, hands over, and finishes those in flight."""
     _log.info("Draining.")
     state.draining = True
@@ -114,7 +140,7 @@
         state.identity.id, messages.Role.ENTRY, state.identity.incarnation
     )
     await leaving.hand_over(state)
-    departing = asyncio.create_task(membership.publish(log, departure))
+    departing = asyncio.create_task(membership.publish(state.log, departure))
     await asyncio.wait(
         [departing], timeout=state.options.log.timeout_ms / 1_000
     )
--- a/packages/daemon/src/sardinerouted/sidecar/runner.py
+++ b/packages/daemon/src/sardinerouted/sidecar/runner.py
@@ -8,6 +8,7 @@
 
 from sardineroute_core import messages
 from sardineroute_core import settings
+from sardineroute_core import traces
 
 _MAX_IDLE_MS = 4_000
 _CONNECT_TIMEOUT_MS = 1_000
@@ -63,19 +64,22 @@
         secure = self._pool.scheme == "https"
         self._pool.ConnectionCls = _TlsConnection if secure else _Connection
 
-    def run(self, start: messages.Start) -> Ending:
+    def run(self, start: messages.Start, traceparent: str) -> Ending:
         """Returns how the task ended; blocks until then.
 
-        A connection on which the answer is overdue is closed, so that a late
+        `traceparent` is that of the span that the call is part of. A
+        connection on which the answer is overdue is closed, so that a late
         answer never meets another task.
         """
         began_ns = time.monotonic_ns()
-        outcome, body, detail = self._request(start)
+        span = traces.begin("call backend server", traceparent)
+        outcome, body, detail = self._request(start, span.traceparent)
+        span.end(detail)
         run_ms = (time.monotonic_ns() - began_ns) // 1_000_000
         return Ending(outcome, body, detail, run_ms)
 
     def _request(
-        self, start: messages.Start
+        self, start: messages.Start, traceparent: str
     ) -> tuple[messages.TaskOutcome, bytes, str]:
         timeout_ms = min(start.timeout_ms, self._timeout_ms)
         try:
@@ -83,12 +87,7 @@
                 "POST",
                 self._url,
                 body=start.payload,
-                headers={
-                    "Content-Type": "application/json",
-                    "Task-Key": start.task_id,
-                    "Task-Kind": start.kind,
-                    "traceparent": start.traceparent,
-                },
+                headers=_headers(start, traceparent),
                 timeout=urllib3.Timeout(
                     connect=_CONNECT_TIMEOUT_MS / 1_000,
                     total=timeout_ms / 1_000,
@@ -108,6 +107,17 @@
         return _judge(response)
 
 
+def _headers(start: messages.Start, traceparent: str) -> dict[str, str]:
+    headers = {
+        "Content-Type": "application/json",
+        "Task-Key": start.task_id,
+        "Task-Kind": start.kind,
+    }
+    if traceparent:
+        headers["traceparent"] = traceparent
+    return headers
+
+
 def _judge(
     response: urllib3.BaseHTTPResponse,
 ) -> tuple[messages.TaskOutcome, bytes, str]:
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 
 from sardineroute_core import clock
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import traces
+from sardinerouted.sidecar import configured
 from sardinerouted.sidecar import guard
 from sardinerouted.sidecar import runner
+from sardinerouted.sidecar import taskmetrics
 from sardinerouted.sidecar import waiting
 
 MAX_KEPT_TASKS = 200_000
@@ -20,8 +24,18 @@
 class Service:
     """The tasks of one backend server: waiting, running and ended."""
 
-    def __init__(self, options: settings.Sidecar, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        options: settings.Sidecar,
+        time: clock.Clock,
+        stopping: asyncio.Event,
+    ) -> None:
+        self._member = options
         self._options = options.backend_server
+        self._stopping = stopping
+        self._configured = configured.Configured()
+        self._warned: set[streams.Connection] = set()
+        self._heard = asyncio.Event()
         self._clock = time
         self._guard = guard.Guard(
             time, options.ownership.retention_ms, MAX_KEPT_TASKS
@@ -37,12 +51,19 @@
         self._runs: set[asyncio.Task[None]] = set()
         self._busy = 0
         self._leaving = False
+        taskmetrics.watch(lambda: self._busy, lambda: len(self._waiting))
+
+    @property
+    def served(self) -> bool:
+        """Returns whether any entry has an open stream to this sidecar."""
+        return bool(self._connections)
 
     async def handle(self, connection: streams.Connection) -> None:
         """Serves one entry until its stream is closed."""
         if connection.peer.role is not messages.Role.ENTRY:
             raise streams.ConnectionLost("only entries are served")
         self._connections.add(connection)
+        connection.send(self._description())
         try:
             if self._leaving:
                 connection.send(messages.Leaving("shutting down"))
@@ -51,12 +72,25 @@
         finally:
             self._connections.discard(connection)
             self._wanting.pop(connection, None)
+            self._warned.discard(connection)
+            self._heard.set()
 
-    async def drain(self) -> None:
-        """Takes no new work, and returns when all accepted tasks ended."""
+    async def drain(self, reply_ms: int) -> None:
+        """Takes no new work, and returns when all accepted tasks ended.
+
+        Args:
+            reply_ms: How long entries may take to say that they send no
+                more; what one has sent before gets its refusal.
+        """
         self._leaving = True
         for connection in self._connections:
+            self._warned.add(connection)
             connection.send(messages.Leaving("shutting down"))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(reply_ms / 1_000):
+                while self._warned:
+                    self._heard.clear()
+                    await self._heard.wait()
         while self._runs:
             await asyncio.wait(self._runs)
         for connection in list(self._connections):
@@ -64,7 +98,7 @@
 
     def _take(self, connection: streams.Connection, message: object) -> None:
         if isinstance(message, messages.Start):
-            self._start(connection, message)
+            self._start(connection, self._configured.bounded(message))
         elif isinstance(message, messages.Ask):
             self._answer_ask(connection, message)
         elif isinstance(message, messages.AskPartition):
@@ -77,6 +111,30 @@
         elif isinstance(message, messages.Ping):
             tick_ms = self._clock.now_ms()
             connection.send(messages.Pong(message.id, tick_ms))
+        else:
+            self._take_administration(connection, message)
+
+    def _take_administration(
+        self, connection: streams.Connection, message: object
+    ) -> None:
+        if isinstance(message, messages.Configure):
+            connection.send(self._configured.take(message))
+        elif isinstance(message, messages.Leaving):
+            self._warned.discard(connection)
+            self._heard.set()
+        elif isinstance(message, messages.Drain):
+            _log.info("Asked to drain.", who=message.who)
+            self._stopping.set()
+
+    def _description(self) -> messages.Describe:
+        return messages.Describe(
+            failure_domain=self._member.failure_domain,
+            region=self._member.region,
+            kinds=tuple(self._options.kinds),
+            slots=self._options.slots,
+            queue=self._options.queue,
+            configuration_version=self._configured.version,
+        )
 
     def _start(
         self, connection: streams.Connection, start: messages.Start
@@ -99,7 +157,10 @@
             self._tell_same(connection, start, decision.known)
         else:
             self._connections_by_task_id[start.task_id] = connection
-            self._waiting.add(waiting.Queued(start, connection))
+            span = traces.begin(
+                "sidecar", start.traceparent, {"task.id": start.task_id}
+            )
+            self._waiting.add(waiting.Queued(start, connection, span))
             self._fill_slots()
 
     def _answer_ask(
@@ -169,6 +230,7 @@
 
     def _cancel(self, cancel: messages.CancelTasks) -> None:
         for queued in self._waiting.remove(frozenset(cancel.task_ids)):
+            queued.span.end("canceled")
             self._guard.forget(queued.start.task_id)
             self._guard.fence(queued.start)
             self._refuse(
@@ -183,6 +245,7 @@
         start: messages.Start,
         outcome: messages.TaskOutcome,
     ) -> None:
+        taskmetrics.count(outcome)
         connection.send(self._result(start.task_id, outcome))
 
     def _is_full(self, first: bool) -> bool:
@@ -213,15 +276,19 @@
         while self._waiting and self._busy < self._options.slots:
             queued = self._waiting.take()
             self._busy += 1
-            run = asyncio.create_task(self._run(queued.start))
+            run = asyncio.create_task(self._run(queued))
             self._runs.add(run)
             run.add_done_callback(self._runs.discard)
 
-    async def _run(self, start: messages.Start) -> None:
+    async def _run(self, queued: waiting.Queued) -> None:
+        start = queued.start
         loop = asyncio.get_running_loop()
         ending = await loop.run_in_executor(
-            self._executor, self._runner.run, start
+            self._executor, self._runner.run, start, queued.span.traceparent
         )
+        queued.span.end(ending.detail)
+        taskmetrics.count(ending.outcome)
+        taskmetrics.observe(start.kind, ending.run_ms)
         self._busy -= 1
         self._fill_slots()
         result = self._result(start.task_id, ending.outcome, ending)
--- a/packages/daemon/src/sardinerouted/sidecar/waiting.py
+++ b/packages/daemon/src/sardinerouted/sidecar/waiting.py
@@ -6,14 +6,16 @@
 
 from sardineroute_core import messages
 from sardineroute_core import streams
+from sardineroute_core import traces
 
 
 @dataclasses.dataclass(frozen=True)
 class Queued:
-    """A task that waits, and the stream that it came on."""
+    """A task that waits, the stream that it came on, and its span."""
 
     start: messages.Start
     connection: streams.Connection
+    span: traces.Span
 
 
 class Waiting:
--- a/packages/daemon/src/sardinerouted/web/app.py
+++ b/packages/daemon/src/sardinerouted/web/app.py
@@ -9,6 +9,7 @@
 from sardineroute_core import errors
 from sardineroute_core import logs
 from sardinerouted.web import exchanges
+from sardinerouted.web import measures
 from sardinerouted.web import requests
 from sardinerouted.web import responses
 from sardinerouted.web import routes
@@ -30,25 +31,33 @@
     def app(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
+        began_s = measures.begin_s()
         request = requests.Request(environ, max_body_bytes)
+
+        def observe(response: responses.Response) -> responses.Response:
+            measures.observe(
+                request.method, request.pattern, response.status, began_s
+            )
+            return response
+
         outcome = _guarded(lambda: table.handle(request))
         if isinstance(outcome, routes.Pending):
             exchange = environ.get(exchanges.ENVIRON_KEY)
             if isinstance(exchange, exchanges.Exchange):
-                _park(outcome, exchange)
+                pending = outcome
+                exchange.park(lambda result: observe(_respond(pending, result)))
+                pending.handover.run(
+                    pending.call, pending.wait_ms, exchange.finish
+                )
                 return []
             outcome = _wait(outcome)
+        observe(outcome)
         start_response(outcome.status_line, outcome.all_headers())
-        return [outcome.body]
+        return [] if request.method == "HEAD" else [outcome.body]
 
     return app
 
 
-def _park(pending: routes.Pending, exchange: exchanges.Exchange) -> None:
-    exchange.park(lambda result: _respond(pending, result))
-    pending.handover.run(pending.call, pending.wait_ms, exchange.finish)
-
-
 def _wait(pending: routes.Pending) -> responses.Response:
     ended = threading.Event()
     results: list[exchanges.Result] = []
@@ -66,8 +75,10 @@
     pending: routes.Pending, result: exchanges.Result
 ) -> responses.Response:
     def render() -> responses.Response:
-        if result.error is not None:
+        if isinstance(result.error, errors.Error):
             raise result.error
+        if result.error is not None:
+            raise RuntimeError("a call failed") from result.error
         return pending.render(result.value)
 
     return _guarded(render)
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -1,7 +1,7 @@
 """The HTTP server: the one of cherrypy, with deadlines and one error form."""
 
+import errno
 import queue
-import time
 from typing import Any
 
 from cheroot import connections
@@ -17,6 +17,7 @@
 from sardinerouted.web import tls
 
 _STOP_POLL_MS = 5
+_NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 _log = logs.part("http")
 
@@ -44,6 +45,7 @@
 
         Only for a stopping server, whose selector loop has ended.
         """
+        self._expire(0.0)
         ready = []
         for descriptor, conn in self._selector.select(timeout_s):
             if conn is not self.server:
@@ -51,13 +53,37 @@
                 ready.append(conn)
         return ready
 
+    def _expire(self, threshold: float) -> None:
+        """Closes connections idle for too long, and ends overdue requests."""
+        super()._expire(threshold)
+        overdue = [
+            item
+            for item in self._selector.connections
+            if item[1] is not self.server and item[1].rfile.overdue
+        ]
+        for descriptor, conn in overdue:
+            self._selector.unregister(descriptor)
+            self.server.process_conn(conn)
+
     def forget_listener(self) -> None:
         """Stops watching for new connections."""
         self._selector.unregister(self.server.socket.fileno())
 
+    def _from_server_socket(self, server_socket: Any) -> Any:
+        try:
+            return super()._from_server_socket(server_socket)
+        except OSError as error:
+            if error.errno not in _NO_DESCRIPTOR:
+                raise
+            _log.warning("No file descriptor is left.", why=str(error))
+            self._close_oldest()
+            return None
+
     def _make_room(self) -> None:
-        if self._num_connections < self.server.options.max_connections:
-            return
+        if self._num_connections >= self.server.options.max_connections:
+            self._close_oldest()
+
+    def _close_oldest(self) -> None:
         # The selector keeps connections in the order they became idle.
         idle = [
             item
@@ -102,6 +128,7 @@
         self.requests._queue = waiting  # noqa: SLF001
         self.requests.get = waiting.get
         self._in_flight: set[connection.Connection] = set()
+        self._suspended: set[connection.Connection] = set()
         self._lingering = lingering.Lingering()
 
     @property
@@ -116,6 +143,14 @@
         unused._selector.close()  # noqa: SLF001
         self._connections: Any = _ConnectionManager(self)
 
+    def idle_count(self) -> int:
+        """Returns the number of idle connections."""
+        return self._connections._num_connections if self.ready else 0
+
+    def in_flight_count(self) -> int:
+        """Returns the number of requests that are not answered yet."""
+        return len(self._in_flight)
+
     def process_conn(self, conn: connection.Connection) -> None:
         """Queues a connection with a request for the threads.
 
@@ -125,6 +160,7 @@
         if conn.last_used is None:
             self._connections.put(conn)
             return
+        self._suspended.discard(conn)
         self._in_flight.add(conn)
         self.requests.put(conn)
 
@@ -133,12 +169,18 @@
         if conn.parked:
             conn.release()
             return
+        if conn.suspended:
+            self._suspended.add(conn)
+            self._in_flight.discard(conn)
+            self._connections.put(conn)
+            return
         self._in_flight.discard(conn)
         super().put_conn(conn)
 
     def ended(self, conn: connection.Connection) -> None:
         """Hears that a connection is being closed."""
         self._in_flight.discard(conn)
+        self._suspended.discard(conn)
 
     def linger(self, conn: connection.Connection) -> bool:
         """Returns whether a connection will be closed later, politely."""
@@ -180,10 +222,13 @@
 
     def _await_in_flight(self) -> None:
         end_ms = self.clock.now_ms() + self.options.stop_timeout_ms
-        while self._in_flight and self.clock.now_ms() < end_ms:
-            time.sleep(_STOP_POLL_MS / 1_000)
-        if self._in_flight:
-            _log.warning("Requests are cut.", count=len(self._in_flight))
+        while self._unanswered() and self.clock.now_ms() < end_ms:
+            self._process(_STOP_POLL_MS)
+        if self._unanswered():
+            _log.warning("Requests are cut.", count=self._unanswered())
+
+    def _unanswered(self) -> int:
+        return len(self._in_flight) + len(self._suspended)
 
 
 def make(
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -54,6 +54,10 @@
     made.server_close()
 
 
+def run(port: int) -> runner.Ending:
+    return make_runner(port).run(start(), "")
+
+
 def make_runner(port: int) -> runner.Runner:
     return runner.Runner(
         settings.BackendServer(
@@ -80,12 +84,12 @@
 def test_connection_is_reused_only_while_it_is_fresh(
     server: _Server, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    run = make_runner(server.server_port).run
+    made = make_runner(server.server_port)
     for _ in range(3):
-        assert run(start()).outcome is messages.TaskOutcome.ANSWERED
+        assert made.run(start(), "").outcome is messages.TaskOutcome.ANSWERED
     assert server.connections == 1
     monkeypatch.setattr(runner, "_MAX_IDLE_MS", -1)
-    assert run(start()).outcome is messages.TaskOutcome.ANSWERED
+    assert made.run(start(), "").outcome is messages.TaskOutcome.ANSWERED
     assert server.connections == 2
 
 
@@ -106,12 +110,12 @@
 ) -> None:
     server.status = status
     server.started = started
-    assert make_runner(server.server_port).run(start()).outcome is outcome
+    assert run(server.server_port).outcome is outcome
 
 
 def test_server_that_is_not_there_refuses() -> None:
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
         port = unused.getsockname()[1]
-        ending = make_runner(port).run(start())
+        ending = run(port)
     assert ending.outcome is messages.TaskOutcome.REFUSED_BY_SERVER
