--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -24,6 +24,7 @@
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
+from sardinerouted.entry import loadmetrics
 from sardinerouted.entry import peers
 from sardinerouted.entry import publisher
 from sardinerouted.entry import roster
@@ -43,6 +44,7 @@
 
 async def _main(options: settings.Entry) -> int:
     state = assembly.new_state(options, platformlog.PlatformLog(options.log))
+    loadmetrics.register(state.dispatcher)
     signals.install(state.stopping)
     fleetmetrics.observe(state)
     supervisor = supervision.Supervisor()
