--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -109,7 +109,7 @@
             state.dispatcher,
         ),
         "leases": state.keeper.run(),
-        "solo": assembly.keep_copies(state),
+        "copies": assembly.keep_copies(state),
         "overdue": dispatch.watch_overdue(state.dispatcher),
     }
     for name, work in work_by_name.items():
