--- a/packages/core/src/sardineroute_core/messages.py
+++ b/packages/core/src/sardineroute_core/messages.py
@@ -89,6 +89,7 @@
     `valid_until_ms` is in the sidecar's monotonic time; later the sidecar
     refuses. `epoch` is the log offset of the sender's claim on `partition`;
     `attempt` counts the start messages for the task under that claim.
+    A `first` task goes before the others that wait for a slot.
     """
 
     task_id: str
@@ -101,6 +102,7 @@
     payload: bytes
     timeout_ms: int
     traceparent: str
+    first: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -333,14 +335,16 @@
 
     `incarnation` is the answering entry's. Entries lost before the log offset
     `losses_before` were lost longer ago than any job is remembered. In the
-    partitions `doubtful` it may not know all submissions. `kept` names jobs
-    of which it can tell the outcome.
+    partitions `doubtful` it may not know all submissions from before it
+    held them, by the claims `doubtful_epochs`. `kept` names jobs of which it
+    can tell the outcome.
     """
 
     id: int
     incarnation: str
     losses_before: int
     doubtful: tuple[int, ...]
+    doubtful_epochs: tuple[int, ...]
     marks: tuple[JobMark, ...]
     kept: tuple[str, ...]
 
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -20,9 +20,11 @@
 from sardinerouted.entry import calls
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import distribution
+from sardinerouted.entry import fleetmetrics
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
+from sardinerouted.entry import loadmetrics
 from sardinerouted.entry import peers
 from sardinerouted.entry import publisher
 from sardinerouted.entry import roster
@@ -42,7 +44,9 @@
 
 async def _main(options: settings.Entry) -> int:
     state = assembly.new_state(options, platformlog.PlatformLog(options.log))
+    loadmetrics.register(state.dispatcher)
     signals.install(state.stopping)
+    fleetmetrics.observe(state)
     supervisor = supervision.Supervisor()
     supervisor.watch_loop()
     server = await streams.serve(
@@ -109,7 +113,7 @@
             state.dispatcher,
         ),
         "leases": state.keeper.run(),
-        "solo": assembly.keep_copies(state),
+        "copies": assembly.keep_copies(state),
         "overdue": dispatch.watch_overdue(state.dispatcher),
     }
     for name, work in work_by_name.items():
