Measure claims against leases; give back only while the log is heard

Cause: lab/ownership_ways.py, way B, log down for 15 s: 13 of 75 jobs were not answered. Reading the code gives the cause: partitions given back while the log was already down are held by nobody. Entries were ready before they had read the membership stream and refused jobs as cannot_run. Change: a partition is given back only shortly after a renewal was read back; an entry is ready when it has read the membership stream.

--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -13,6 +13,7 @@
 
 _STEPS_IN_LEASE = 12
 _RENEWALS_IN_LEASE = 3
+_FRESH_IN_LEASE = 8
 _PROMISED_LEASES = 10
 _SNAPSHOT_MS = 30_000
 _CLOSING_MS = 2_000
@@ -205,6 +206,11 @@
         owned = self._owned
         if owned.leaving or not owned.own.valid:
             return
+        unheard_ms = self._clock.now_ms() - owned.own.confirmed_ms
+        if unheard_ms > self._lease_ms // _FRESH_IN_LEASE:
+            # What is given back while the log is down serves nobody.
+            owned.closing.clear()
+            return
         surplus = owned.surplus()
         idle = [partition for partition in surplus if self._is_idle(partition)]
         if idle:
--- a/packages/daemon/src/sardinerouted/entry/queries.py
+++ b/packages/daemon/src/sardinerouted/entry/queries.py
@@ -63,4 +63,5 @@
         not state.draining
         and state.ownership.joined
         and state.configuration.known
+        and state.membership_next > 0
     )
