--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -10,6 +10,7 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted import membership
+from sardinerouted.entry import admission
 from sardinerouted.entry import backends
 from sardinerouted.entry import configuration
 from sardinerouted.entry import dispatch
@@ -33,6 +34,7 @@
         clock: The monotonic time.
         ownership: Which entry is home to which partition.
         dispatcher: The tasks queued and sent.
+        admission: Which jobs are taken.
         policy: The configuration in force.
         configuration: How it came to be in force, and what else is known.
         log: The platform's log service.
@@ -62,6 +64,7 @@
     clock: clock.Clock
     ownership: ownership.Ownership
     dispatcher: dispatch.Dispatcher
+    admission: admission.Admission
     policy: policy.PolicyHolder
     configuration: configuration.Configuration
     log: platformlog.PlatformLog
