Ask other entries to witness jobs while the log is down too

While the log is down all sessions look lapsed, so a home entry that had received a job itself asked nobody to remember it and waited for the log. Change: all sessions that have not ended are asked, those heard of first. Jobs of the outage test end before the outage does.

--- a/packages/daemon/src/sardinerouted/entry/witness.py
+++ b/packages/daemon/src/sardinerouted/entry/witness.py
@@ -217,11 +217,16 @@
         return isinstance(answer, messages.Witnessed) and answer.accepted
 
     def _candidates(self) -> list[leasefold.Session]:
+        # In an outage of the log all look lapsed; an answer tells who lives.
         now_ms = self._clock.now_ms()
         avoid = self._avoid_until_ms_by_session
+        alive = {session.id for session in self._owned.others_alive()}
         sessions = [
             session
-            for session in self._owned.others_alive()
+            for session in self._owned.others()
             if avoid.get(session.id, 0) <= now_ms
         ]
-        return sorted(sessions, key=lambda item: item.terms.leaving)
+        return sorted(
+            sessions,
+            key=lambda item: (item.id not in alive, item.terms.leaving),
+        )
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -42,7 +42,8 @@
         while not self._stopped.is_set() and entry in self._entries:
             count += 1
             key = f"load-{entry}-{number}-{count}"
-            job = submissions.make_job(key, count=5, run_ms=100)
+            # Shorter than the outage, so that none can wait for its end.
+            job = submissions.make_job(key, 5, 100, timeout_ms=4_000)
             outcome = self._callers.submit(entry, job).result()
             self.results.append((job, outcome))
 
