--- a/packages/daemon/src/sardinerouted/entry/home.py
+++ b/packages/daemon/src/sardinerouted/entry/home.py
@@ -24,6 +24,7 @@
         witnessed: Whether another member already remembers it.
     """
     state.jobs_by_id[job.id] = job
+    state.running_by_partition[job.partition] += 1
     loop = asyncio.get_running_loop()
     timeout_ms = job.submission.timeout_ms
     timer = loop.call_later(
@@ -33,13 +34,14 @@
         f"not answered within {timeout_ms} ms",
     )
     job.ended.add_done_callback(lambda _: _ended(state, job, timer))
-    standing = state.recovery.standing(job.id)
-    state.table.remember(mark_of(state, job.submission))
-    if standing is recovery.Standing.FRESH and witnessed:
+    if witnessed and (
+        state.recovery.standing(job.id) is recovery.Standing.FRESH
+    ):
+        state.table.remember(mark_of(state, job.submission))
         job.prove()
         state.dispatcher.enqueue(job)
         return
-    preparing = loop.create_task(_prepare(state, job, standing, witnessed))
+    preparing = loop.create_task(_prepare(state, job, witnessed))
     state.preparing.add(preparing)
     preparing.add_done_callback(state.preparing.discard)
 
@@ -52,16 +54,14 @@
     return messages.JobMark(submission.job_id, submission.digest, keep_ms)
 
 
-def running_in(
-    state: entry_state.EntryState, partitions: set[int]
-) -> list[jobs.Job]:
-    """Returns the running jobs of some partitions."""
-    return [
-        job
-        for job in state.jobs_by_id.values()
-        if job.state is jobs.State.RUNNING
-        and state.ownership.partition_of(job.id) in partitions
-    ]
+def is_idle(state: entry_state.EntryState, partition: int) -> bool:
+    """Returns whether a partition can be given back at once.
+
+    No job of it is running, and what the next holder has to know is known.
+    """
+    if state.running_by_partition[partition]:
+        return False
+    return state.recovery.has_asked(partition)
 
 
 def lost(state: entry_state.EntryState, partitions: set[int]) -> None:
@@ -71,18 +71,19 @@
     tasks that run. Outcomes of ended jobs are kept for it to recall.
     """
     state.recovery.lost(partitions)
-    running = running_in(state, partitions)
-    for job in running:
-        job.fail(errors.Kind.NOT_OWNER, "the lease on this job was lost")
-    for job in list(state.jobs_by_id.values()):
-        if state.ownership.partition_of(job.id) in partitions:
-            del state.jobs_by_id[job.id]
-            if job.failure is None or job.failure.kind is not (
-                errors.Kind.NOT_OWNER
-            ):
-                state.former_jobs_by_id[job.id] = job
+    moved = [
+        job for job in state.jobs_by_id.values() if job.partition in partitions
+    ]
+    running = 0
+    for job in moved:
+        del state.jobs_by_id[job.id]
+        if job.state is jobs.State.RUNNING:
+            running += 1
+            job.fail(errors.Kind.NOT_OWNER, "the lease on this job was lost")
+        else:
+            state.former_jobs_by_id[job.id] = job
     if running:
-        _log.warning("Running jobs have moved.", jobs=len(running))
+        _log.warning("Running jobs have moved.", jobs=running)
 
 
 def gained(state: entry_state.EntryState, gains: list[ownership.Gain]) -> None:
@@ -93,12 +94,11 @@
 async def _prepare(
     state: entry_state.EntryState,
     job: jobs.Job,
-    standing: recovery.Standing,
     witnessed: bool,
 ) -> None:
     try:
-        if standing is recovery.Standing.PENDING:
-            standing = await state.recovery.settled(job.id)
+        standing = await state.recovery.settled(job.id)
+        state.table.remember(mark_of(state, job.submission))
         if standing is recovery.Standing.FRESH:
             job.prove()
             await _confirm(state, job, witnessed)
@@ -130,6 +130,7 @@
     state: entry_state.EntryState, job: jobs.Job, timer: asyncio.TimerHandle
 ) -> None:
     timer.cancel()
+    state.running_by_partition[job.partition] -= 1
     job.ended_ms = state.clock.now_ms()
     if job.state is not jobs.State.COMPLETE:
         state.dispatcher.drop(job)
--- a/packages/daemon/src/sardinerouted/entry/leasefold.py
+++ b/packages/daemon/src/sardinerouted/entry/leasefold.py
@@ -42,13 +42,13 @@
     Attributes:
         session: The holder's session.
         epoch: The offset of the claim.
-        inherits_doubt: Whether jobs may have started under the holder before
-            that no other member knows.
+        had_holder: Whether there was an earlier holder, whose jobs this one
+            has to learn of.
     """
 
     session: str
     epoch: int
-    inherits_doubt: bool = False
+    had_holder: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,7 +140,7 @@
                     partition,
                     holding.session,
                     holding.epoch,
-                    holding.inherits_doubt,
+                    holding.had_holder,
                 ]
                 for partition, holding in self.holdings_by_partition.items()
             ],
@@ -197,11 +197,8 @@
                 loss = Loss(session.member.incarnation, offset)
                 self.losses.append(loss)
         for partition in record.partitions:
-            previous = self.previous_by_partition.get(partition)
-            doubt = previous is not None and (
-                previous.solo or previous.doubtful
-            )
-            holding = Holding(record.session, offset, doubt)
+            had_holder = partition in self.previous_by_partition
+            holding = Holding(record.session, offset, had_holder)
             self.holdings_by_partition.setdefault(partition, holding)
         return True
 
@@ -237,8 +234,7 @@
         self.previous_by_partition[partition] = Previous(
             session.member.incarnation,
             terms.solo,
-            partition in terms.doubtful
-            or (holding.inherits_doubt and is_unspoken),
+            partition in terms.doubtful or (holding.had_holder and is_unspoken),
             terms.repaired,
         )
 
@@ -323,7 +319,7 @@
         """Takes the next record.
 
         Returns:
-            The records that this made part of the state.
+            The records that this made part of the state, and earlier ones.
         """
         self._read_to = offset + 1
         if self.complete:
@@ -359,7 +355,8 @@
         later = [item for item in self._pending if item[0] >= snapshot.at]
         for offset, record in later:
             fold.apply(offset, record)
+        read = [record for _, record in self._pending]
         self.fold = fold
         self.complete = True
         self._pending = []
-        return [record for _, record in later]
+        return read
--- a/packages/daemon/src/sardinerouted/entry/leaving.py
+++ b/packages/daemon/src/sardinerouted/entry/leaving.py
@@ -54,8 +54,8 @@
     others = bool(state.ownership.others_alive())
     while state.clock.now_ms() < end_ms:
         held = state.ownership.held()
-        busy = {job.partition for job in home.running_in(state, set(held))}
-        idle = [partition for partition in held if partition not in busy]
+        idle = [one for one in held if home.is_idle(state, one)]
+        busy = [one for one in held if one not in idle]
         if others and idle:
             state.keeper.give_back(idle)
         if others:
