--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -8,6 +8,7 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted import membership
+from sardinerouted.entry import admission
 from sardinerouted.entry import backends
 from sardinerouted.entry import configuration
 from sardinerouted.entry import dispatch
@@ -64,6 +65,7 @@
         clock=time,
         ownership=owned,
         dispatcher=dispatcher,
+        admission=admission.Admission(holder, dispatcher),
         policy=holder,
         configuration=configuration.Configuration(holder, time),
         log=log,
