--- a/packages/daemon/src/sardinerouted/entry/health.py
+++ b/packages/daemon/src/sardinerouted/entry/health.py
@@ -158,9 +158,12 @@
     def refused(self, server_id: str, task_id: str) -> None:
         """Takes a start that provably never happened; backs off."""
         record = self._record(server_id)
-        doubled = max(record.backoff_ms * 2, _BACKOFF_MIN_MS)
-        record.backoff_ms = min(doubled, _BACKOFF_MAX_MS)
-        record.backoff_until_ms = self._clock.now_ms() + record.backoff_ms
+        now_ms = self._clock.now_ms()
+        if record.backoff_until_ms <= now_ms:
+            # Refusals of tasks sent together count once.
+            doubled = max(record.backoff_ms * 2, _BACKOFF_MIN_MS)
+            record.backoff_ms = min(doubled, _BACKOFF_MAX_MS)
+            record.backoff_until_ms = now_ms + record.backoff_ms
         if record.probe_task_id == task_id:
             record.probe_task_id = ""
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -151,7 +151,9 @@
 def test_refusals_back_off_and_eject_nobody(world: World) -> None:
     waits_ms = []
     for index in range(8):
-        world.health.refused(world.ids[0], f"task-{index}")
+        # Eight slots refuse together, which counts once.
+        for slot in range(8):
+            world.health.refused(world.ids[0], f"task-{index}-{slot}")
         waited_ms = 0
         while not world.health.allowance(world.ids[0]):
             world.time.advance(10)
