--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -20,6 +20,7 @@
 from sardinerouted.entry import calls
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import distribution
+from sardinerouted.entry import fleetmetrics
 from sardinerouted.entry import front
 from sardinerouted.entry import leaving
 from sardinerouted.entry import links
@@ -45,6 +46,7 @@
     state = assembly.new_state(options, platformlog.PlatformLog(options.log))
     loadmetrics.register(state.dispatcher)
     signals.install(state.stopping)
+    fleetmetrics.observe(state)
     supervisor = supervision.Supervisor()
     supervisor.watch_loop()
     server = await streams.serve(
@@ -111,7 +113,7 @@
             state.dispatcher,
         ),
         "leases": state.keeper.run(),
-        "solo": assembly.keep_copies(state),
+        "copies": assembly.keep_copies(state),
         "overdue": dispatch.watch_overdue(state.dispatcher),
     }
     for name, work in work_by_name.items():
