Split the messages: the codec and those of takeovers apart

Change: codec.py has the msgpack form and the codes, takeover.py the messages by which entries outlive one another. No code or field changes.

--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -17,6 +17,7 @@
 
 from sardineroute_core import clock
 from sardineroute_core import messages
+from sardineroute_core import takeover
 from sardineroute_standins import arrivals
 from sardineroute_standins import configure
 from sardineroute_standins import fleet as fleet_module
@@ -223,7 +224,7 @@
     table = witness.Table(clock.Clock(), count + 1)
     for number in range(count):
         digest = number.to_bytes(16, "big")
-        table.remember(messages.JobMark(f"{number:032x}", digest, 600_000))
+        table.remember(takeover.JobMark(f"{number:032x}", digest, 600_000))
     return table
 
 
--- /dev/null
+++ b/packages/core/src/sardineroute_core/codec.py
@@ -0,0 +1,109 @@
+"""The msgpack form of the messages between the daemon's processes.
+
+Each message is one msgpack extension whose code names the class and whose
+payload is the list of the field values. Nested messages nest the same way.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgpack
+
+from sardineroute_core import messages
+from sardineroute_core import takeover
+
+MAX_MESSAGE_BYTES = 67_108_864
+
+
+class MalformedMessage(Exception):
+    """Raised for bytes that are not a known message."""
+
+
+_CLASSES_BY_CODE: dict[int, type[Any]] = {
+    1: messages.Challenge,
+    2: messages.Hello,
+    3: messages.Welcome,
+    4: messages.Ping,
+    5: messages.Pong,
+    6: messages.Leaving,
+    10: messages.Start,
+    11: messages.Result,
+    12: messages.Ask,
+    13: messages.Running,
+    14: messages.CancelTasks,
+    20: messages.Submit,
+    21: messages.Lookup,
+    22: messages.Cancel,
+    23: messages.Outcome,
+    30: takeover.JobMark,
+    31: takeover.Witness,
+    32: takeover.Witnessed,
+    33: takeover.Survey,
+    34: takeover.Surveyed,
+    35: takeover.Promise,
+    36: takeover.Promised,
+    37: takeover.AskPartition,
+    38: takeover.PartitionTasks,
+    39: takeover.Recall,
+    40: messages.Describe,
+    41: messages.Configure,
+    42: messages.Configured,
+    43: messages.StateRequest,
+    44: messages.StateReply,
+    45: messages.Drain,
+    50: messages.Want,
+    51: messages.Room,
+}
+_CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
+_FIELDS_BY_CLASS = {
+    cls: tuple(field.name for field in dataclasses.fields(cls))
+    for cls in _CODES_BY_CLASS
+}
+_TYPES_BY_CLASS: dict[type[Any], tuple[Any, ...]] = {
+    cls: tuple(
+        getattr(field.type, "__origin__", field.type)
+        for field in dataclasses.fields(cls)
+    )
+    for cls in _CODES_BY_CLASS
+}
+
+
+def encode(message: Any) -> bytes:
+    """Returns the msgpack form of one message."""
+    return bytes(msgpack.packb(message, default=_to_extension))
+
+
+def unpacker() -> msgpack.Unpacker:
+    """Returns a streaming decoder; iterate it after feeding it bytes.
+
+    It raises `MalformedMessage` for an unknown or ill-typed message and
+    `msgpack.BufferFull` past `MAX_MESSAGE_BYTES`.
+    """
+    return msgpack.Unpacker(
+        ext_hook=_from_extension,
+        use_list=False,
+        max_buffer_size=MAX_MESSAGE_BYTES,
+    )
+
+
+def _to_extension(message: Any) -> msgpack.ExtType:
+    cls = type(message)
+    code = _CODES_BY_CLASS.get(cls)
+    if code is None:
+        raise TypeError(f"{cls.__name__} is not a message")
+    values = [getattr(message, name) for name in _FIELDS_BY_CLASS[cls]]
+    return msgpack.ExtType(code, msgpack.packb(values, default=_to_extension))
+
+
+def _from_extension(code: int, payload: bytes) -> Any:
+    cls = _CLASSES_BY_CODE.get(code)
+    if cls is None:
+        raise MalformedMessage(f"message code {code} is unknown")
+    values = msgpack.unpackb(payload, ext_hook=_from_extension, use_list=False)
+    types = _TYPES_BY_CLASS[cls]
+    if not isinstance(values, tuple) or len(values) != len(types):
+        raise MalformedMessage(f"{cls.__name__} has the wrong fields")
+    for value, expected in zip(values, types, strict=True):
+        if not isinstance(value, expected):
+            raise MalformedMessage(f"{cls.__name__} has a field of wrong type")
+    return cls(*values)
--- a/packages/core/src/sardineroute_core/streams.py
+++ b/packages/core/src/sardineroute_core/streams.py
@@ -19,6 +19,7 @@
 import msgpack
 
 from sardineroute_core import clock
+from sardineroute_core import codec
 from sardineroute_core import messages
 from sardineroute_core import metrics
 from sardineroute_core import settings
@@ -58,7 +59,7 @@
         self._reader = reader
         self._writer = writer
         self._clock = time
-        self._unpacker = messages.unpacker()
+        self._unpacker = codec.unpacker()
         self._outgoing: list[bytes] = []
         self.peer = Identity("", messages.Role.ENTRY, "")
         self.peer_tick_ms = 0
@@ -79,7 +80,7 @@
             return
         if not self._outgoing:
             asyncio.get_running_loop().call_soon(self._flush)
-        payload = messages.encode(message)
+        payload = codec.encode(message)
         metrics.count_message("out", type(message).__name__, len(payload))
         self._outgoing.append(payload)
 
@@ -131,7 +132,7 @@
                 metrics.count_message("in", name, 0)
                 yield message
         except (
-            messages.MalformedMessage,
+            codec.MalformedMessage,
             msgpack.UnpackException,
             ValueError,
         ) as error:
--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -7,6 +7,7 @@
 from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import takeover
 from sardinerouted import membership
 from sardinerouted.entry import admission
 from sardinerouted.entry import backends
@@ -141,16 +142,16 @@
     session: leasefold.Session,
     for_ms: int,
 ) -> bool:
-    request = messages.Promise(0, owned.own.session, for_ms)
+    request = takeover.Promise(0, owned.own.session, for_ms)
     try:
         answer = await entries.of(session.member).call(request)
     except streams.ConnectionLost:
         return False
-    return isinstance(answer, messages.Promised) and answer.given
+    return isinstance(answer, takeover.Promised) and answer.given
 
 
 def _remember(
-    table: witness.Table, marks: tuple[messages.JobMark, ...]
+    table: witness.Table, marks: tuple[takeover.JobMark, ...]
 ) -> None:
     for mark in marks:
         table.remember(mark)
--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/calls.py
@@ -7,6 +7,7 @@
 from sardineroute_core import ids
 from sardineroute_core import messages
 from sardineroute_core import streams
+from sardineroute_core import takeover
 from sardinerouted.entry import commands
 from sardinerouted.entry import jobs
 from sardinerouted.entry import queries
@@ -23,11 +24,11 @@
     if isinstance(request, messages.Drain):
         state.stopping.set()
         return messages.Leaving(f"asked by {request.who}")
-    if isinstance(request, messages.Witness):
+    if isinstance(request, takeover.Witness):
         return _witness(state, request)
-    if isinstance(request, messages.Survey):
+    if isinstance(request, takeover.Survey):
         return _survey(state, request)
-    if isinstance(request, messages.Promise):
+    if isinstance(request, takeover.Promise):
         return _promise(state, request)
     try:
         outcome = await _execute(state, peer, request)
@@ -48,21 +49,21 @@
         )
     if isinstance(request, messages.Cancel):
         return await commands.cancel_here(state, request.team, request.key)
-    if isinstance(request, messages.Recall):
+    if isinstance(request, takeover.Recall):
         return queries.recall_here(state, request.job)
     return queries.show_here(state, request.team, request.key)
 
 
 def _witness(
-    state: entry_state.EntryState, request: messages.Witness
-) -> messages.Witnessed:
+    state: entry_state.EntryState, request: takeover.Witness
+) -> takeover.Witnessed:
     accepted = [state.table.remember(mark) for mark in request.marks]
-    return messages.Witnessed(request.id, all(accepted))
+    return takeover.Witnessed(request.id, all(accepted))
 
 
 def _survey(
-    state: entry_state.EntryState, request: messages.Survey
-) -> messages.Surveyed:
+    state: entry_state.EntryState, request: takeover.Survey
+) -> takeover.Surveyed:
     owned = state.ownership
     options = state.options.ownership
     partitions = set(request.partitions)
@@ -72,7 +73,7 @@
         for number, epoch in state.recovery.doubts().items()
         if number in partitions
     }
-    return messages.Surveyed(
+    return takeover.Surveyed(
         id=request.id,
         incarnation=state.identity.incarnation,
         losses_before=owned.old_losses_before(horizon_ms),
@@ -88,14 +89,14 @@
 
 
 def _promise(
-    state: entry_state.EntryState, request: messages.Promise
-) -> messages.Promised:
+    state: entry_state.EntryState, request: takeover.Promise
+) -> takeover.Promised:
     given = state.ownership.promise(request.session, request.for_ms)
-    return messages.Promised(request.id, given)
+    return takeover.Promised(request.id, given)
 
 
 def _job_id(request: Any) -> str:
-    if isinstance(request, messages.Recall):
+    if isinstance(request, takeover.Recall):
         return request.job
     return ids.job_id(request.team, request.key)
 
--- a/packages/daemon/src/sardinerouted/entry/home.py
+++ b/packages/daemon/src/sardinerouted/entry/home.py
@@ -4,7 +4,7 @@
 
 from sardineroute_core import errors
 from sardineroute_core import logs
-from sardineroute_core import messages
+from sardineroute_core import takeover
 from sardinerouted.entry import jobs
 from sardinerouted.entry import ownership
 from sardinerouted.entry import recovery
@@ -48,10 +48,10 @@
 
 def mark_of(
     state: entry_state.EntryState, submission: jobs.Submission
-) -> messages.JobMark:
+) -> takeover.JobMark:
     """Returns what entries remember of a submission."""
     keep_ms = state.options.ownership.retention_ms + submission.timeout_ms
-    return messages.JobMark(submission.job_id, submission.digest, keep_ms)
+    return takeover.JobMark(submission.job_id, submission.digest, keep_ms)
 
 
 def is_idle(state: entry_state.EntryState, partition: int) -> bool:
--- a/packages/daemon/src/sardinerouted/entry/leaserecords.py
+++ b/packages/daemon/src/sardinerouted/entry/leaserecords.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Any
 
-from sardineroute_core import messages
+from sardineroute_core import takeover
 
 STREAM = "ownership"
 
@@ -97,7 +97,7 @@
     """Makes submissions known to all members, where none can be reached."""
 
     session: str
-    marks: tuple[messages.JobMark, ...]
+    marks: tuple[takeover.JobMark, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -191,6 +191,6 @@
     )
 
 
-def _mark(item: Any) -> messages.JobMark:
+def _mark(item: Any) -> takeover.JobMark:
     job_id, digest, keep_ms = item
-    return messages.JobMark(str(job_id), bytes.fromhex(digest), int(keep_ms))
+    return takeover.JobMark(str(job_id), bytes.fromhex(digest), int(keep_ms))
--- a/packages/daemon/src/sardinerouted/entry/links.py
+++ b/packages/daemon/src/sardinerouted/entry/links.py
@@ -7,6 +7,7 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import takeover
 from sardinerouted.entry import backends
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import questions
@@ -128,7 +129,7 @@
 ) -> None:
     if isinstance(message, messages.Result | messages.Running):
         dispatcher.take(server, message)
-    elif isinstance(message, messages.PartitionTasks):
+    elif isinstance(message, takeover.PartitionTasks):
         asked.take(message)
     elif isinstance(message, messages.Room):
         dispatcher.take_room(server, message)
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -11,9 +11,9 @@
 from sardineroute_core import clock
 from sardineroute_core import ids
 from sardineroute_core import logs
-from sardineroute_core import messages
 from sardineroute_core import platformlog
 from sardineroute_core import settings
+from sardineroute_core import takeover
 from sardinerouted.entry import assignment
 from sardinerouted.entry import lease
 from sardinerouted.entry import leasefold
@@ -55,7 +55,7 @@
 
     gained: Callable[[list[Gain]], None] = lambda gains: None
     lost: Callable[[set[int]], None] = lambda partitions: None
-    witnessed: Callable[[tuple[messages.JobMark, ...]], None] = lambda marks: (
+    witnessed: Callable[[tuple[takeover.JobMark, ...]], None] = lambda marks: (
         None
     )
     read_back: Callable[[str], None] = lambda record_id: None
--- a/packages/daemon/src/sardinerouted/entry/questions.py
+++ b/packages/daemon/src/sardinerouted/entry/questions.py
@@ -8,6 +8,7 @@
 from sardineroute_core import clock
 from sardineroute_core import errors
 from sardineroute_core import messages
+from sardineroute_core import takeover
 from sardinerouted.entry import backends
 from sardinerouted.entry import dispatch
 from sardinerouted.entry import jobs
@@ -33,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Question:
-    take: Callable[[messages.PartitionTasks], None]
+    take: Callable[[takeover.PartitionTasks], None]
     answered: asyncio.Future[None]
 
 
@@ -67,7 +68,7 @@
         incarnation = server.announcement.incarnation
         self._gone_ms_by_incarnation[incarnation] = self._clock.now_ms()
 
-    def take(self, message: messages.PartitionTasks) -> None:
+    def take(self, message: takeover.PartitionTasks) -> None:
         """Takes an answer."""
         question = self._open_by_id.pop(message.id, None)
         if question is not None and not question.answered.done():
@@ -124,14 +125,14 @@
         known = self._jobs_by_partition.setdefault(partition, {})
         incarnation = server.announcement.incarnation
         if incarnation not in known:
-            ask = messages.AskPartition(0, partition, epoch, "")
+            ask = takeover.AskPartition(0, partition, epoch, "")
 
-            def keep(answer: messages.PartitionTasks) -> None:
+            def keep(answer: takeover.PartitionTasks) -> None:
                 known[incarnation] = frozenset(answer.jobs)
 
             await self._ask(server, ask, keep)
         if job.id in known.get(incarnation, ()):
-            ask = messages.AskPartition(0, partition, epoch, job.id)
+            ask = takeover.AskPartition(0, partition, epoch, job.id)
             await self._ask(
                 server,
                 ask,
@@ -141,8 +142,8 @@
     async def _ask(
         self,
         server: backends.BackendServer,
-        ask: messages.AskPartition,
-        take: Callable[[messages.PartitionTasks], None],
+        ask: takeover.AskPartition,
+        take: Callable[[takeover.PartitionTasks], None],
     ) -> None:
         while self._is_present(server):
             connection = server.connection
@@ -167,7 +168,7 @@
         server: backends.BackendServer,
         job: jobs.Job,
         epoch: int,
-        answer: messages.PartitionTasks,
+        answer: takeover.PartitionTasks,
     ) -> None:
         found: list[messages.Result | messages.Running] = [
             *answer.ended,
--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery.py
@@ -15,6 +15,7 @@
 from sardineroute_core import messages
 from sardineroute_core import platformlog
 from sardineroute_core import streams
+from sardineroute_core import takeover
 from sardinerouted.entry import jobs
 from sardinerouted.entry import leasefold
 from sardinerouted.entry import ownership
@@ -251,7 +252,7 @@
             return False
         try:
             peer = self._peers.of(keeper.member)
-            outcome = await peer.call(messages.Recall(0, job.id))
+            outcome = await peer.call(takeover.Recall(0, job.id))
         except streams.ConnectionLost:
             return False
         if not isinstance(outcome, messages.Outcome):
@@ -294,11 +295,11 @@
         while left and session.id in self._owned.fold.sessions_by_id:
             try:
                 peer = self._peers.of(session.member)
-                answer = await peer.call(messages.Survey(0, tuple(left)))
+                answer = await peer.call(takeover.Survey(0, tuple(left)))
             except streams.ConnectionLost:
                 answer = None
             retry_ms = _RETRY_MS
-            if isinstance(answer, messages.Surveyed):
+            if isinstance(answer, takeover.Surveyed):
                 retry_ms = _DOUBT_RETRY_MS
                 doubted = self._learn(session, left, answer)
                 # What it does not know yet, it may find out.
@@ -314,7 +315,7 @@
         self,
         session: leasefold.Session,
         partitions: dict[int, _Partition],
-        answer: messages.Surveyed,
+        answer: takeover.Surveyed,
     ) -> set[int]:
         """Takes an answer; returns the partitions it leaves in doubt."""
         if answer.incarnation != session.member.incarnation:
--- a/packages/daemon/src/sardinerouted/entry/witness.py
+++ b/packages/daemon/src/sardinerouted/entry/witness.py
@@ -9,8 +9,8 @@
 from sardineroute_core import clock
 from sardineroute_core import ids
 from sardineroute_core import logs
-from sardineroute_core import messages
 from sardineroute_core import streams
+from sardineroute_core import takeover
 from sardinerouted.entry import leasefold
 from sardinerouted.entry import leaserecords
 from sardinerouted.entry import ownership
@@ -46,7 +46,7 @@
     def __len__(self) -> int:
         return len(self._digests_by_job)
 
-    def remember(self, mark: messages.JobMark) -> bool:
+    def remember(self, mark: takeover.JobMark) -> bool:
         """Remembers a submission; returns False where there is no room."""
         self._expire()
         known = mark.job_id in self._digests_by_job
@@ -72,16 +72,16 @@
         self._expire()
         return self._digests_by_job.get(job_id)
 
-    def marks(self) -> list[messages.JobMark]:
+    def marks(self) -> list[takeover.JobMark]:
         """Returns all that is known, with the time left to remember it."""
         return self.marks_in(list(self._jobs_by_partition))
 
-    def marks_in(self, partitions: Iterable[int]) -> list[messages.JobMark]:
+    def marks_in(self, partitions: Iterable[int]) -> list[takeover.JobMark]:
         """Returns what is known of some partitions."""
         self._expire()
         now_ms = self._clock.now_ms()
         return [
-            messages.JobMark(
+            takeover.JobMark(
                 job_id,
                 self._digests_by_job[job_id],
                 self._expires_ms_by_job[job_id] - now_ms,
@@ -117,12 +117,12 @@
         self._peers = entries
         self._commit = commit
         self._clock = owned.clock
-        self._batch: list[messages.JobMark] = []
+        self._batch: list[takeover.JobMark] = []
         self._sending: asyncio.Task[bool] | None = None
         self._avoid_until_ms_by_session: dict[str, int] = {}
         self._clearing = False
 
-    async def confirm(self, mark: messages.JobMark, timeout_ms: int) -> bool:
+    async def confirm(self, mark: takeover.JobMark, timeout_ms: int) -> bool:
         """Returns whether a second entry knows a submission, or none exists.
 
         Submissions of one iteration of the event loop go in one message.
@@ -178,7 +178,7 @@
         owned = self._owned
         return not owned.others() and owned.solo_declared
 
-    def _send_with_others(self, mark: messages.JobMark) -> asyncio.Task[bool]:
+    def _send_with_others(self, mark: takeover.JobMark) -> asyncio.Task[bool]:
         if not self._batch or self._sending is None:
             self._sending = asyncio.create_task(self._send_batch())
         self._batch.append(mark)
@@ -195,7 +195,7 @@
         return await self._commit(record, self._owned.options.lease_ms)
 
     async def _push_to(
-        self, session: leasefold.Session, marks: list[messages.JobMark]
+        self, session: leasefold.Session, marks: list[takeover.JobMark]
     ) -> bool:
         for start in range(0, len(marks), _PUSH_MARKS):
             part = tuple(marks[start : start + _PUSH_MARKS])
@@ -204,17 +204,17 @@
         return True
 
     async def _send(
-        self, session: leasefold.Session, marks: tuple[messages.JobMark, ...]
+        self, session: leasefold.Session, marks: tuple[takeover.JobMark, ...]
     ) -> bool:
         try:
             async with asyncio.timeout(_ACK_TIMEOUT_MS / 1_000):
                 peer = self._peers.of(session.member)
-                answer = await peer.call(messages.Witness(0, marks))
+                answer = await peer.call(takeover.Witness(0, marks))
         except (streams.ConnectionLost, TimeoutError):
             until_ms = self._clock.now_ms() + _AVOID_MS
             self._avoid_until_ms_by_session[session.id] = until_ms
             return False
-        return isinstance(answer, messages.Witnessed) and answer.accepted
+        return isinstance(answer, takeover.Witnessed) and answer.accepted
 
     def _candidates(self) -> list[leasefold.Session]:
         # In an outage of the log all look lapsed; an answer tells who lives.
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -9,6 +9,7 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardineroute_core import takeover
 from sardineroute_core import traces
 from sardinerouted.sidecar import configured
 from sardinerouted.sidecar import guard
@@ -101,7 +102,7 @@
             self._start(connection, self._configured.bounded(message))
         elif isinstance(message, messages.Ask):
             self._answer_ask(connection, message)
-        elif isinstance(message, messages.AskPartition):
+        elif isinstance(message, takeover.AskPartition):
             self._answer_partition(connection, message)
         elif isinstance(message, messages.CancelTasks):
             self._cancel(message)
@@ -189,7 +190,7 @@
             connection.send(self._result(start.task_id, outcome))
 
     def _answer_partition(
-        self, connection: streams.Connection, ask: messages.AskPartition
+        self, connection: streams.Connection, ask: takeover.AskPartition
     ) -> None:
         self._guard.fence_partition(ask.partition, ask.epoch)
         records = self._guard.tasks_of(ask.job) if ask.job else []
@@ -198,7 +199,7 @@
         for record in running:
             self._connections_by_task_id[record.id] = connection
         connection.send(
-            messages.PartitionTasks(
+            takeover.PartitionTasks(
                 id=ask.id,
                 jobs=() if ask.job else self._guard.jobs_in(ask.partition),
                 digest=records[0].digest if records else b"",
