Split what to claim from who holds what

Change: claims.py decides which sessions to end and which partitions to claim or give back; it alone keeps the last assignment. No change of behaviour.

--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/keeper.py
@@ -7,6 +7,7 @@
 from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import platformlog
+from sardinerouted.entry import claims
 from sardinerouted.entry import leasefold
 from sardinerouted.entry import leaserecords
 from sardinerouted.entry import ownership
@@ -43,6 +44,7 @@
         is_idle: Callable[[int], bool],
     ) -> None:
         self._owned = owned
+        self._claims = claims.Claims(owned)
         self._log = log
         self._ask = ask
         self._is_idle = is_idle
@@ -189,8 +191,8 @@
             return
         if not owned.own.valid:
             return
-        ended = owned.ends_due()
-        wanted = owned.wanted(ended)
+        ended = self._claims.ends_due()
+        wanted = self._claims.wanted(ended)
         if not ended and not wanted:
             return
         for session in ended:
@@ -211,7 +213,7 @@
             # What is given back while the log is down serves nobody.
             owned.closing.clear()
             return
-        surplus = owned.surplus()
+        surplus = self._claims.surplus()
         idle = [partition for partition in surplus if self._is_idle(partition)]
         if idle:
             self.give_back(idle)
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership.py
@@ -14,7 +14,6 @@
 from sardineroute_core import platformlog
 from sardineroute_core import settings
 from sardineroute_core import takeover
-from sardinerouted.entry import assignment
 from sardinerouted.entry import lease
 from sardinerouted.entry import leasefold
 from sardinerouted.entry import leaserecords
@@ -106,8 +105,6 @@
         self._held: dict[int, int] = {}
         self._given_back: set[tuple[int, int]] = set()
         self._loss_read_ms: dict[str, int] = {}
-        self._assigned_to: dict[str, str] | None = None
-        self._assignment: list[str] = []
         self._last_number = 0
         self._solo_number = 0
 
@@ -271,38 +268,6 @@
             return False
         return self.promises.give(session.id, session.renewed, for_ms)
 
-    def ends_due(self) -> Sessions:
-        """Returns the sessions that may be ended now."""
-        return [
-            session
-            for session in self.fold.sessions_by_id.values()
-            if session.id != self.own.session and self._may_end(session)
-        ]
-
-    def wanted(self, ended: Sessions) -> list[int]:
-        """Returns the partitions to claim, once `ended` have ended."""
-        if self.leaving:
-            return []
-        assigned = self._assigned(ended)
-        ended_ids = {session.id for session in ended}
-        return [
-            partition
-            for partition, session in enumerate(assigned)
-            if session == self.own.session
-            and self._is_free(partition, ended_ids)
-        ]
-
-    def surplus(self) -> list[int]:
-        """Returns the partitions held here that another should hold."""
-        if self.leaving:
-            return list(self._held)
-        assigned = self._assigned([])
-        return [
-            partition
-            for partition in self._held
-            if assigned[partition] not in ("", self.own.session)
-        ]
-
     def give_back(self, partitions: list[int]) -> leaserecords.Release:
         """Stops holding partitions, and returns the record that says so.
 
@@ -397,36 +362,3 @@
             if holding.session == self.own.session
             and (partition, holding.epoch) not in self._given_back
         }
-
-    def _may_end(self, session: leasefold.Session) -> bool:
-        own = self.fold.active(self.own.session)
-        if own is None or not self.own.joined:
-            return False
-        if self.promises.binding(session.id):
-            return False
-        wait_ms = 0
-        if own.start >= session.terms.seen and not session.superseded:
-            # Its holder may not know of us, and so may extend its lease
-            # without our promise.
-            wait_ms = self.options.max_extension_ms
-        return self.waits.lapsed(session, wait_ms)
-
-    def _is_free(self, partition: int, ended_ids: set[str]) -> bool:
-        holding = self.fold.holdings_by_partition.get(partition)
-        return holding is None or holding.session in ended_ids
-
-    def _assigned(self, ended: Sessions) -> list[str]:
-        ended_ids = {session.id for session in ended}
-        members_by_session = {
-            session.id: session.member.id
-            for session in self.others_alive()
-            if not session.terms.leaving and session.id not in ended_ids
-        }
-        if not self.leaving:
-            members_by_session[self.own.session] = self.member.id
-        if members_by_session != self._assigned_to:
-            self._assigned_to = members_by_session
-            self._assignment = assignment.assign(
-                members_by_session, self.options.partitions
-            )
-        return self._assignment
