Draw servers before they are looked at in the fastest policy

Cause: for each task the choice asked the state of every server of the kind and then drew 32 of the usable ones.

Change: above 32 servers, servers are drawn one by one until 32 usable ones are found, at most 96 draws, and only these are looked at; the sample is as uniform as before. With a due probe, or too few found, all are looked at as before. Health keeps the ejected servers by id, so that asking for a due probe is linear in those only.

Conclusion: the choice is one of the terms linear in the sidecars; others remain.

--- a/packages/daemon/src/sardinerouted/entry/choice.py
+++ b/packages/daemon/src/sardinerouted/entry/choice.py
@@ -15,6 +15,7 @@
 FIFO = "fifo"
 # With more backend servers than this, so many are drawn at random.
 MAX_CANDIDATES = 32
+MAX_DRAWS = 96
 _OTHER_DOMAIN_MS = 1.0
 _OTHER_REGION_MS = 40.0
 
@@ -90,7 +91,7 @@
     """
 
     def choose(request: Request) -> Choice:
-        probe, fitting = _candidates(knowledge, request)
+        probe, fitting = _sampled(knowledge, request)
         if probe is not None:
             return Choice(server=probe)
         best_ms = float("inf")
@@ -98,7 +99,7 @@
         best: backends.BackendServer | None = None
         free: backends.BackendServer | None = None
         full: list[tuple[float, backends.BackendServer]] = []
-        for server in _sampled(fitting):
+        for server in fitting:
             finish_ms = _finish_ms(knowledge, request, server)
             if finish_ms < best_ms:
                 best_ms, best = finish_ms, server
@@ -172,11 +173,44 @@
 
 
 def _sampled(
-    servers: list[backends.BackendServer],
+    knowledge: Knowledge, request: Request
+) -> tuple[backends.BackendServer | None, list[backends.BackendServer]]:
+    """Returns what `_candidates` does, of the usable ones a random sample.
+
+    The cost does not grow with the servers, unless a probe is due or most of
+    those drawn can't be used.
+    """
+    servers = request.servers
+    if len(servers) > MAX_CANDIDATES and not knowledge.health.has_due_probe():
+        fitting = _drawn(knowledge, request)
+        if len(fitting) == MAX_CANDIDATES:
+            return None, fitting
+    probe, fitting = _candidates(knowledge, request)
+    if len(fitting) > MAX_CANDIDATES:
+        fitting = random.sample(fitting, MAX_CANDIDATES)
+    return probe, fitting
+
+
+def _drawn(
+    knowledge: Knowledge, request: Request
 ) -> list[backends.BackendServer]:
-    if len(servers) <= MAX_CANDIDATES:
-        return servers
-    return random.sample(servers, MAX_CANDIDATES)
+    """Draws usable servers at random; fewer than wanted if many are not."""
+    servers = request.servers
+    seen: set[int] = set()
+    fitting: list[backends.BackendServer] = []
+    for _ in range(MAX_DRAWS):
+        index = int(random.random() * len(servers))
+        if index in seen:
+            continue
+        seen.add(index)
+        server = servers[index]
+        if not server.usable or server.id in request.excluded_ids:
+            continue
+        if knowledge.health.allowance(server.id):
+            fitting.append(server)
+            if len(fitting) == MAX_CANDIDATES:
+                break
+    return fitting
 
 
 def _has_room(
--- a/packages/daemon/src/sardinerouted/entry/health.py
+++ b/packages/daemon/src/sardinerouted/entry/health.py
@@ -72,6 +72,7 @@
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
         self._records_by_id: dict[str, Record] = {}
+        self._ejected_by_id: dict[str, Record] = {}
 
     def watch(self, server_id: str, kinds: Iterable[str]) -> None:
         """Starts to watch a backend server, or goes on."""
@@ -82,6 +83,7 @@
     def forget(self, server_id: str) -> None:
         """Forgets a backend server that has left."""
         self._records_by_id.pop(server_id, None)
+        self._ejected_by_id.pop(server_id, None)
 
     def state_of(self, server_id: str) -> State:
         """Returns whether a backend server gets work."""
@@ -106,12 +108,15 @@
 
     def is_probe_due(self, server_id: str) -> bool:
         """Returns whether an ejected server is to get one task now."""
-        record = self._record(server_id)
-        return (
-            record.state is State.EJECTED
-            and not record.probe_task_id
-            and record.next_probe_ms <= self._clock.now_ms()
-        )
+        record = self._ejected_by_id.get(server_id)
+        return record is not None and self._is_due(record)
+
+    def has_due_probe(self) -> bool:
+        """Returns whether any ejected server is to get one task now.
+
+        The cost is linear in the ejected servers only.
+        """
+        return any(map(self._is_due, self._ejected_by_id.values()))
 
     def sent(self, server_id: str, task_id: str) -> None:
         """Takes note of a task sent; it is a probe where one is due."""
@@ -192,6 +197,12 @@
         ]
         return min(times_ms, default=None)
 
+    def _is_due(self, record: Record) -> bool:
+        return (
+            not record.probe_task_id
+            and record.next_probe_ms <= self._clock.now_ms()
+        )
+
     def _record(self, server_id: str) -> Record:
         record = self._records_by_id.get(server_id)
         if record is None:
@@ -230,6 +241,7 @@
         else:
             record.interval_ms = min(record.interval_ms * 2, _PROBE_MAX_MS)
         record.state = State.EJECTED
+        self._ejected_by_id[server_id] = record
         record.next_probe_ms = now_ms + record.interval_ms
         record.probe_task_id = ""
         record.slow_runs = 0
@@ -244,6 +256,7 @@
         now_ms = self._clock.now_ms()
         if passed:
             record.state = State.RAMPING
+            self._ejected_by_id.pop(server_id, None)
             record.ramp = 1
             record.slow_runs = 0
             _log.info("A worker passed its probe.", worker=server_id)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -175,3 +175,51 @@
     world.load(world.servers[1], 1)
     world.load(world.servers[2], 2)
     assert world.choose("least_outstanding") == "sidecar-2"
+
+
+class _CountingHealth(health.Health):
+    """Counts how often a server is looked at."""
+
+    looks = 0
+
+    def allowance(self, server_id: str) -> int:
+        self.looks += 1
+        return super().allowance(server_id)
+
+
+def _counted_world(servers: int) -> tuple[World, _CountingHealth]:
+    world = World()
+    counted = _CountingHealth(world.time.clock())
+    world.knowledge = choice.Knowledge(world.knowledge.speeds, counted)
+    for _ in range(servers):
+        world.add()
+    return world, counted
+
+
+@pytest.mark.parametrize("servers", [200, 1_400])
+def test_fastest_looks_at_a_bounded_number_of_servers(servers: int) -> None:
+    world, counted = _counted_world(servers)
+    assert world.choose()
+    assert choice.MAX_CANDIDATES <= counted.looks <= 2 * choice.MAX_DRAWS
+
+
+def test_the_only_usable_one_of_many_servers_is_found() -> None:
+    world, _ = _counted_world(300)
+    for server in world.servers:
+        server.leaving = server is not world.servers[217]
+    assert world.choose() == world.servers[217].id
+
+
+def test_a_due_probe_among_many_servers_is_sent() -> None:
+    world, counted = _counted_world(300)
+    probed = world.servers[217]
+    for number in range(10):
+        counted.failed(probed.id, f"task-{number}", f"job-{number}")
+    assert counted.state_of(probed.id) is health.State.EJECTED
+    assert world.choose() != probed.id
+    world.time.advance(60_000)
+    assert counted.has_due_probe()
+    assert world.choose() == probed.id
+    counted.sent(probed.id, "probe")
+    assert not counted.has_due_probe()
+    assert world.choose() != probed.id
