Give published sections the defaults of teams without one

Cause: the limits of waiting callers were raised to 256 a kind and 512 a team in policy.py, but a published section that left them out still had 32 and 48. In the most urgent flood, whose urgency is published, the flooding kind took 32 of its team's 48 callers and the team's other kinds were refused with quota_exceeded.

Change: the schemas take their defaults from policy.py.

Tests: test_queues, test_admission, test_dispatch, test_health and test_configuration_machine: 44 passed, 1 xfailed, 1 xpassed.

--- a/packages/core/src/sardineroute_core/configuration.py
+++ b/packages/core/src/sardineroute_core/configuration.py
@@ -34,36 +34,41 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+# What a section leaves out is as for a team that has none.
+_TEAM = policy.TeamPolicy()
+_KIND = policy.KindPolicy()
+
+
 class _TeamV1(_Section):
     schema_version: Literal[1]
-    weight: _Weight = 1.0
-    max_running_tasks: _Count = 0
-    max_queued_tasks: _Count = 40_000
-    max_waiting_callers: _Count = 48
+    weight: _Weight = _TEAM.weight
+    max_running_tasks: _Count = _TEAM.max_running_tasks
+    max_queued_tasks: _Count = _TEAM.max_queued_tasks
+    max_waiting_callers: _Count = _TEAM.max_waiting_callers
     kinds: list[_Name] = []
 
 
 class _TeamLimits(_Section):
-    running_tasks: _Count = 0
-    queued_tasks: _Count = 40_000
-    waiting_callers: _Count = 48
+    running_tasks: _Count = _TEAM.max_running_tasks
+    queued_tasks: _Count = _TEAM.max_queued_tasks
+    waiting_callers: _Count = _TEAM.max_waiting_callers
 
 
 class _KindLimits(_Section):
-    queued_tasks: _Count = 20_000
-    waiting_callers: _Count = 32
+    queued_tasks: _Count = _KIND.max_queued_tasks
+    waiting_callers: _Count = _KIND.max_waiting_callers
 
 
 class _Kind(_Section):
-    weight: _Weight = 1.0
-    urgency: Annotated[int, pydantic.Field(ge=-100, le=100)] = 0
+    weight: _Weight = _KIND.weight
+    urgency: Annotated[int, pydantic.Field(ge=-100, le=100)] = _KIND.urgency
     limits: _KindLimits = _KindLimits()
-    timeout_ms: _TimeoutMs = 30_000
+    timeout_ms: _TimeoutMs = _KIND.timeout_ms
 
 
 class _TeamV2(_Section):
     schema_version: Literal[2]
-    weight: _Weight = 1.0
+    weight: _Weight = _TEAM.weight
     limits: _TeamLimits = _TeamLimits()
     kinds: dict[_Name, _Kind] = {}
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,6 +11,7 @@
 import pytest
 
 from sardineroute_core import clock
+from sardineroute_core import configuration
 from sardineroute_core import errors
 from sardineroute_core import messages
 from sardineroute_core import policy
@@ -162,6 +163,28 @@
     in_loop(test)
 
 
+@pytest.mark.parametrize(
+    "section",
+    [
+        {"schema_version": 1, "kinds": [KIND]},
+        {"schema_version": 2, "kinds": {KIND: {"urgency": 10}}},
+    ],
+)
+def test_section_without_limits_has_those_of_a_team_without_a_section(
+    section: dict[str, object],
+) -> None:
+    current = configuration.decode(1, {"teams": {"a": section}})
+    named, unnamed = current.team("a"), current.team("b")
+    assert KIND in named.kinds_by_name
+    assert named.max_queued_tasks == unnamed.max_queued_tasks
+    assert named.max_waiting_callers == unnamed.max_waiting_callers
+    assert named.max_running_tasks == unnamed.max_running_tasks
+    urgency = named.kind(KIND).urgency
+    assert named.kind(KIND) == dataclasses.replace(
+        unnamed.kind(KIND), urgency=urgency
+    )
+
+
 def test_job_that_can_not_finish_in_time_is_refused_early() -> None:
     def test() -> None:
         world = World(policy.TeamPolicy())
