Offer the flood whole: 512 connections for each of its drivers

Cause: three entries let 768 callers of a kind wait; the flood had 448 connections.

Change: 1,024 connections, more than may wait.

Whether the drivers' 1,024 threads add to the refusal times was not measured.

--- a/packages/standins/src/sardineroute_standins/load.py
+++ b/packages/standins/src/sardineroute_standins/load.py
@@ -17,7 +17,7 @@
 STANDINS = "sardineroute_standins.main"
 DRIVERS = 2
 CONNECTIONS = 192
-FLOOD_CONNECTIONS = 224
+FLOOD_CONNECTIONS = 512
 TIMEOUT_MS = 60_000
 # Drivers import their libraries and read their plans before the run starts.
 HEAD_START_S = 2.0
