Hold a slot of each server back for owed work in a flood

Change: in a flood, for a second after a task that was owed time was sent, other tasks leave the sidecar's queue and one slot free.

The unit test covers the room, not when the dispatcher holds it back.

Tests: test_queues, test_admission, test_dispatch, test_health: 44 passed, 1 xfailed, 1 xpassed.

--- a/packages/daemon/src/sardinerouted/entry/backends.py
+++ b/packages/daemon/src/sardinerouted/entry/backends.py
@@ -43,6 +43,7 @@
         lost_ms: When its stream was lost; 0 while it is open.
         wanted: Whether the sidecar was asked to tell when it has room.
         mean_run_ms: Run time of the tasks that ended there lately.
+        held_back: Places that only `first` tasks may take.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.wanted = False
         self.tick: Tick | None = None
         self.mean_run_ms = speeds.DEFAULT_RUN_MS
+        self.held_back = 0
         self._spread_ms = 0.0
         self._others = 0.0
         self._others_mean = 0.0
@@ -93,6 +95,8 @@
         limit = self.announcement.slots + self.announcement.queue
         if first:
             limit += self.announcement.slots
+        else:
+            limit -= self.held_back
         return self.load <= limit - 1
 
     def wait_ms(self, first: bool = False) -> float:
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -27,6 +27,10 @@
 _RECHECK_MIN_MS = 10
 _BURST_MS = 400.0
 _FLOOD_ROUNDS = 4
+# In a flood, so many slots of a server are left to tasks that are owed time,
+# until none was sent for so long.
+_HELD_SLOTS = 1
+_HELD_MS = 1_000
 _EXPECTED_REFUSALS = frozenset(
     {
         messages.TaskOutcome.REFUSED_FULL,
@@ -82,6 +86,7 @@
         self._withdrawn_by_server: dict[str, list[str]] = {}
         self._starts_by_flow: dict[tuple[str, str], rates.Rate] = {}
         self._recheck: asyncio.TimerHandle | None = None
+        self._owed_ms = -_HELD_MS
 
     @property
     def queue(self) -> queues.Queue:
@@ -139,6 +144,7 @@
         the others at their server.
         """
         self._follow_policy()
+        self._hold_back()
         placements = self._pump(self._queue.pick, first=False)
         if self._queue.queued_by_kind():
             if self._is_flooded():
@@ -232,6 +238,15 @@
             queue.fill(self._queue.drain())
             self._queue = queue
 
+    def _hold_back(self) -> None:
+        """Leaves room to tasks that are owed time while some come."""
+        recent = self._clock.now_ms() - self._owed_ms < _HELD_MS
+        held = recent and self._is_flooded()
+        for server in self._servers_by_id.values():
+            slots = min(_HELD_SLOTS, server.announcement.slots - 1)
+            places = server.announcement.queue + slots
+            server.held_back = places if held else 0
+
     def _is_flooded(self) -> bool:
         """Returns whether far more tasks wait here than the fleet runs."""
         queued = sum(self._queue.queued_by_kind().values())
@@ -303,6 +318,8 @@
             return False
         now_ms = self._clock.now_ms()
         task.first = task.first and self._is_flooded()
+        if task.first:
+            self._owed_ms = now_ms
         task.phase = jobs.Phase.SENT
         task.server_id = server.id
         task.sent_ms = now_ms
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -162,6 +162,20 @@
     assert chosen == {"sidecar-3"}
 
 
+def test_held_back_places_are_left_to_tasks_that_pass_others(
+    world: World,
+) -> None:
+    server = world.add()
+    world.load(server, 3)
+    assert world.choose(queued=100) == "sidecar-1"
+    # The queue of 2 and one of the 4 slots.
+    server.held_back = 3
+    assert world.choose(queued=100) == ""
+    assert server.has_room(first=True)
+    world.load(server, 2)
+    assert world.choose(queued=100) == "sidecar-1"
+
+
 def test_round_robin_takes_turns_and_least_outstanding_the_emptiest(
     world: World,
 ) -> None:
