Hold slots back only when that begins or ends

Each pump went over all servers, also with nothing to change; at 1,400 workers that is work for each result. Now only a change of the state does.

--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -87,6 +87,7 @@
         self._withdrawn_by_server: dict[str, list[str]] = {}
         self._starts_by_flow: dict[tuple[str, str], rates.Rate] = {}
         self._recheck: asyncio.TimerHandle | None = None
+        self._is_holding = False
         self._owed_ms = -_HELD_MS
 
     @property
@@ -240,6 +241,9 @@
         """Leaves room to tasks that are owed time while some come."""
         recent = self._clock.now_ms() - self._owed_ms < _HELD_MS
         held = recent and self._is_flooded()
+        if held == self._is_holding:
+            return
+        self._is_holding = held
         for server in self._servers_by_id.values():
             slots = min(_HELD_SLOTS, server.announcement.slots - 1)
             places = server.announcement.queue + slots
