Ask no sidecar for room in a flood while any owes us an answer

Cause: slots held back for owed work made the entries ask full sidecars again and again: 757 Want and as many Room in 8 s of a most urgent flood, 8.4 % of the messages wasted. Change: in a flood the next answer is never far, so nothing is asked while any sidecar owes one.

--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -464,11 +464,17 @@
         """Makes sure that what stays queued is looked at again.
 
         Load rides on answers. A sidecar that owes us none is asked to tell
-        when it has room.
+        when it has room; in a flood only when none owes us any, for there
+        the next answer is never far.
         """
+        is_answered_soon = self._is_flooded() and any(
+            server.tasks_by_id for server in self._servers_by_id.values()
+        )
         for placement in placements.values():
             server = placement.awaited
-            if placement.server is None and server is not None:
+            if is_answered_soon or placement.server is not None:
+                continue
+            if server is not None:
                 self._want(server)
         if self._recheck is None:
             loop = asyncio.get_running_loop()
