--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/dispatch.py
@@ -10,6 +10,7 @@
 from sardineroute_core import policy
 from sardinerouted.entry import backends
 from sardinerouted.entry import choice
+from sardinerouted.entry import fifo
 from sardinerouted.entry import health
 from sardinerouted.entry import jobs
 from sardinerouted.entry import ownership
@@ -77,7 +78,7 @@
             self.speeds, self.health, place.failure_domain, place.region
         )
         self._fair = queues.FairQueue(holder, self._job_key, self._burst_ms)
-        self._fifo = queues.FifoQueue()
+        self._fifo = fifo.FifoQueue()
         self._queue: queues.Queue = self._fair
         self._policy_name = ""
         self._choose = choice.make(choice.FASTEST, self._knowledge)
--- a/packages/daemon/src/sardinerouted/entry/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs.py
@@ -214,6 +214,13 @@
             retry_after_ms=failure.retry_after_ms if failure else 0,
         )
 
+    def queued_tasks(self) -> list[Task]:
+        """Returns the tasks that are to be sent.
+
+        Of a job rebuilt after a takeover, some may have started already.
+        """
+        return [task for task in self.tasks if task.phase is Phase.QUEUED]
+
     def answers(self) -> tuple[bytes, ...]:
         """Returns the answers in task order; only for a complete job."""
         if self.state is not State.COMPLETE:
