--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -110,6 +110,11 @@
             raise job.error
         return job.state.value
 
+    def give_up_all(self) -> None:
+        """Ends the jobs that a stopping process can't finish in time."""
+        for job in list(self._jobs_by_id.values()):
+            self._give_up(job, "the entry stops")
+
     async def watch(self) -> None:
         """Retries, renews and gives up in time; never returns."""
         while True:
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import pathlib
 import threading
 
 from sardineroute_core import clock
@@ -22,6 +23,7 @@
 from sardinerouted.dispatching import desk as desks
 from sardinerouted.hosted import discovery
 from sardinerouted.hosted import peers as entry_peers
+from sardinerouted.hosted import reload
 from sardinerouted.hosted import table_source
 from sardinerouted.web import app as web_app
 from sardinerouted.web import exchanges
@@ -29,21 +31,20 @@
 from sardinerouted.web import options as web_options
 from sardinerouted.web import routes
 
-_POLL_MS = 50
 # The entries' announcements are read again so often.
 _REFRESH_MS = 10_000
 
 _log = logs.part("entry")
 
 
-def run(options: settings.HostedEntry) -> int:
+def run(options: settings.HostedEntry, path: pathlib.Path) -> int:
     """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
     traces.configure(options.traces, options.id)
-    return shutdown.run(_main(options))
+    return shutdown.run(_main(options, path))
 
 
-async def _main(options: settings.HostedEntry) -> int:
+async def _main(options: settings.HostedEntry, path: pathlib.Path) -> int:
     adapter = hosting.adapter_of(importlib.import_module(options.adapter))
     time = clock.Clock()
     identity = streams.Identity(options.id, messages.Role.ENTRY, ids.new_id())
@@ -74,6 +75,7 @@
 
     server = await streams.serve(options.streams, identity, time, handle)
     peers.learn(list(options.seed_addresses()))
+    signals.on_reload(lambda: reload.reload(path, options, peers.learn))
     supervisor.start("jobs", desk.watch())
     supervisor.start("peers", peers.watch())
     supervisor.start("configuration", source.follow())
@@ -93,8 +95,7 @@
     if supervisor.failed.is_set():
         return errors.EXIT_FAILED
     draining.set()
-    await _drain(options, desk, time)
-    await asyncio.to_thread(httpd.stop)
+    await _drain(options, desk)
     server.close()
     return 0
 
@@ -127,17 +128,16 @@
     )
 
 
-async def _drain(
-    options: settings.HostedEntry, desk: desks.Desk, time: clock.Clock
-) -> None:
+async def _drain(options: settings.HostedEntry, desk: desks.Desk) -> None:
     """Serves until the balancer knows, then finishes what is in flight."""
     _log.info("Draining.", jobs=desk.in_flight())
-    begun_ms = time.now_ms()
     await asyncio.sleep(options.leave_rotation_ms / 1_000)
     httpd.drain()
-    end_ms = begun_ms + options.drain_timeout_ms
-    while desk.in_flight() and time.now_ms() < end_ms:
-        await asyncio.sleep(_POLL_MS / 1_000)
+    stopping = asyncio.create_task(asyncio.to_thread(httpd.stop))
+    left_ms = options.drain_timeout_ms - options.leave_rotation_ms
+    await asyncio.wait([stopping], timeout=max(0, left_ms) / 1_000)
+    desk.give_up_all()
+    await stopping
 
 
 async def _discover(
--- a/packages/daemon/src/sardinerouted/hosted/sidecar.py
+++ b/packages/daemon/src/sardinerouted/hosted/sidecar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import pathlib
 
 from sardineroute_core import clock
 from sardineroute_core import errors
@@ -17,6 +18,7 @@
 from sardinerouted import signals
 from sardinerouted import supervision
 from sardinerouted.hosted import discovery
+from sardinerouted.hosted import reload
 from sardinerouted.web import app as web_app
 from sardinerouted.web import exchanges
 from sardinerouted.web import health
@@ -33,14 +35,14 @@
 _log = logs.part("sidecar")
 
 
-def run(options: settings.HostedSidecar) -> int:
+def run(options: settings.HostedSidecar, path: pathlib.Path) -> int:
     """Runs a sidecar until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
     traces.configure(options.traces, options.id)
-    return shutdown.run(_main(options))
+    return shutdown.run(_main(options, path))
 
 
-async def _main(options: settings.HostedSidecar) -> int:
+async def _main(options: settings.HostedSidecar, path: pathlib.Path) -> int:
     adapter = hosting.adapter_of(importlib.import_module(options.adapter))
     time = clock.Clock()
     identity = streams.Identity(
@@ -54,6 +56,7 @@
         options, identity, time, adapter.worker_client(options.worker)
     )
     fleet.learn(list(options.seed_addresses()))
+    signals.on_reload(lambda: reload.reload(path, options, fleet.learn))
     store = adapter.record_store(options.store)
     supervisor.start("leases", fleet.watch())
     supervisor.start("load", fleet.tell_load())
--- a/packages/daemon/src/sardinerouted/main.py
+++ b/packages/daemon/src/sardinerouted/main.py
@@ -27,7 +27,7 @@
     if isinstance(loaded, settings.HostedEntry):
         from sardinerouted.hosted import entry as hosted_entry
 
-        raise typer.Exit(hosted_entry.run(loaded))
+        raise typer.Exit(hosted_entry.run(loaded, path))
     if not isinstance(loaded, settings.Entry):
         _fail(f"{path}: role: found {loaded.role!r}; allowed: entry")
     from sardinerouted.entry import process
@@ -42,7 +42,7 @@
     if isinstance(loaded, settings.HostedSidecar):
         from sardinerouted.hosted import sidecar as hosted_sidecar
 
-        raise typer.Exit(hosted_sidecar.run(loaded))
+        raise typer.Exit(hosted_sidecar.run(loaded, path))
     if not isinstance(loaded, settings.Sidecar):
         _fail(f"{path}: role: found {loaded.role!r}; allowed: sidecar")
     from sardinerouted.sidecar import process
--- a/packages/daemon/src/sardinerouted/signals.py
+++ b/packages/daemon/src/sardinerouted/signals.py
@@ -1,8 +1,9 @@
-"""The signals that ask a process to stop."""
+"""The signals that ask a process to stop, or to read its settings again."""
 
 import asyncio
 import os
 import signal
+from collections.abc import Callable
 
 from sardineroute_core import errors
 
@@ -22,6 +23,11 @@
         loop.add_signal_handler(number, take)
 
 
+def on_reload(take: Callable[[], None]) -> None:
+    """Calls `take` on SIGHUP; without it SIGHUP ends the process."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, take)
+
+
 async def first_set(*events: asyncio.Event) -> None:
     """Returns when one of the events is set."""
     waits = [asyncio.ensure_future(event.wait()) for event in events]
