Place tasks on a free worker that is in time, by run times learned

Cause: tasks went where they should end first, so all queued at the fast workers (p90 wait 261 to 520 ms at 0.91 to 0.99 use) while slow ones were at 0.18 to 0.49; 5,256 starts came back in 16 s.

--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -11,6 +11,7 @@
 from sardineroute_core import runmessages
 from sardineroute_core import traces
 from sardineroute_core import work
+from sardinerouted.dispatching import estimates
 from sardinerouted.dispatching import fleet as fleets
 from sardinerouted.dispatching import jobmetrics
 from sardinerouted.dispatching import jobs
@@ -29,6 +30,9 @@
 _STRAGGLER_MIN_MS = 500
 _CHECK_MS = 50
 _RETRY_AFTER_MS = 1_000
+# A job that no worker in reach can run is refused after this share of its
+# objective.
+_PATIENCE_SHARE = 0.25
 _BUSY_RETRY_MS = 30
 # Steps over the numbers that an earlier try of the job may have used.
 _NUMBER_STEP = 16
@@ -48,6 +52,7 @@
         self.routing_table: routing.Table | None = None
         self.fleet = fleets.Fleet(time, self._take_end)
         self.fleet.on_cancel = self._take_cancel
+        self._estimates = estimates.Estimates()
         self._jobs_by_id: dict[str, jobs.Job] = {}
         self._ended_by_id: collections.OrderedDict[
             str, tuple[int, jobs.State]
@@ -94,7 +99,7 @@
             return remembered[1].value
         job = self._jobs_by_id.get(request.id)
         if job is None:
-            job = jobs.Job(request, queue, now_ms)
+            job = self._new_job(request, queue, now_ms)
             self._jobs_by_id[request.id] = job
             about: traces.Attributes = {"job": request.id, "queue": queue.name}
             with traces.span("job", "", about):
@@ -145,18 +150,31 @@
         if not job.is_over and not gone.done():
             self._give_up(job, "the deadline has passed")
 
+    def _new_job(
+        self, request: work.Request, queue: routing.Queue, now_ms: int
+    ) -> jobs.Job:
+        for step in request.steps:
+            self._estimates.note_declared(queue.name, step.estimate_ms)
+        estimates_ms = tuple(
+            self._estimates.refine(queue.name, step.estimate_ms)
+            for step in request.steps
+        )
+        return jobs.Job(request, queue, estimates_ms, now_ms)
+
     def _admit(self, job: jobs.Job) -> None:
         """Places all tasks of a fresh job, or refuses it."""
         choices = self._plan(job)
         if choices is None:
-            self._end(job, jobs.State.FAILED, _refusal("no worker can run it"))
+            # Tried again by `_check` for a short while.
             return
         now_ms = self._clock.now_ms()
         ends_ms = now_ms + max(
             (choice.end_in_ms for _, choice in choices), default=0.0
         )
-        waits = any(choice.start_in_ms > 0 for _, choice in choices)
-        if waits and ends_ms > job.objective_ms:
+        if any(
+            choice.start_in_ms > 0 and not choice.on_time
+            for _, choice in choices
+        ):
             self._end(
                 job,
                 jobs.State.FAILED,
@@ -176,8 +194,9 @@
         """
         choices = []
         taken: dict[str, work.Size] = {}
+        now_ms = self._clock.now_ms()
         for task in job.queued():
-            choice = placement.choose(task, self.fleet.known())
+            choice = placement.choose(task, self.fleet.known(), now_ms)
             if choice is None:
                 choices = None
                 break
@@ -194,9 +213,9 @@
         now_ms = self._clock.now_ms()
         sidecar = choice.sidecar
         job = task.job
-        start_by_ms = int(now_ms + choice.start_in_ms * 2 + _START_SLACK_MS)
-        start_by_ms = min(start_by_ms, job.deadline_ms)
         latest_ms = int(job.objective_ms - choice.run_ms)
+        start_by_ms = int(now_ms + choice.start_in_ms + _START_SLACK_MS)
+        start_by_ms = min(max(start_by_ms, latest_ms), job.deadline_ms)
         task.number += 1
         task.phase = jobs.Phase.PLACED
         task.sidecar_id = sidecar.id
@@ -215,7 +234,7 @@
                 cpu_millicores=size.cpu_millicores,
                 memory_mb=size.memory_mb,
                 gpus=size.gpus,
-                estimate_ms=task.step.estimate_ms,
+                estimate_ms=int(task.estimate_ms),
                 rank=sidecar.to_sidecar_ms(latest_ms),
                 start_by_ms=sidecar.to_sidecar_ms(start_by_ms),
                 lease_ms=sidecar.lease_until_ms(),
@@ -224,10 +243,18 @@
         )
 
     def _take_end(
-        self, task: jobs.Task, outcome: work.Outcome, sidecar: sidecars.Sidecar
+        self,
+        task: jobs.Task,
+        outcome: work.Outcome,
+        run_ms: int,
+        sidecar: sidecars.Sidecar,
     ) -> None:
         """Takes the end of a run from a sidecar."""
         job = task.job
+        if outcome is work.Outcome.DONE:
+            self._estimates.learn(
+                job.queue.name, task.step.estimate_ms, run_ms / sidecar.slowness
+            )
         if job.is_over:
             return
         if outcome is work.Outcome.DONE:
@@ -275,7 +302,7 @@
         now_ms = self._clock.now_ms()
         late_ms = self._worthless_ms(job)
         for task in job.queued():
-            choice = placement.choose(task, self.fleet.known())
+            choice = placement.choose(task, self.fleet.known(), now_ms)
             if choice is None:
                 # Looked at again until the deadline.
                 continue
@@ -299,8 +326,15 @@
                     task.phase = jobs.Phase.QUEUED
             elif task.phase is jobs.Phase.PLACED:
                 self._check_straggler(task, now_ms)
-        if job.queued():
+        if not job.queued():
+            return
+        if job.may_have_run:
             self._place_queued(job)
+            return
+        self._admit(job)
+        patience_ms = _PATIENCE_SHARE * (job.objective_ms - job.received_ms)
+        if not job.may_have_run and now_ms - job.received_ms > patience_ms:
+            self._give_up(job, "no worker can run it")
 
     def _check_straggler(self, task: jobs.Task, now_ms: int) -> None:
         expected_ms = task.expected_ms - task.placed_ms
@@ -314,7 +348,7 @@
             for sidecar in self.fleet.known()
             if sidecar.id != task.sidecar_id
         ]
-        choice = placement.choose(task, others)
+        choice = placement.choose(task, others, now_ms)
         if choice is None or choice.start_in_ms > 0:
             return
         if now_ms + choice.end_in_ms > task.job.deadline_ms:
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -21,7 +21,7 @@
 
 _log = logs.part("fleet")
 
-TakeEnd = Callable[[jobs.Task, work.Outcome, sidecars.Sidecar], None]
+TakeEnd = Callable[[jobs.Task, work.Outcome, int, sidecars.Sidecar], None]
 
 
 class Fleet:
@@ -155,7 +155,9 @@
         if task is None or task.number != message.number:
             return
         del sidecar.tasks_by_id[task_id]
-        self._take_end(task, work.Outcome(message.outcome), sidecar)
+        self._take_end(
+            task, work.Outcome(message.outcome), message.run_ms, sidecar
+        )
 
     def _take_held(
         self, sidecar: sidecars.Sidecar, message: runmessages.HeldRuns
@@ -180,7 +182,7 @@
                     self.stop([task])
             else:
                 del sidecar.tasks_by_id[task.id]
-                self._take_end(task, work.Outcome.UNKNOWN, sidecar)
+                self._take_end(task, work.Outcome.UNKNOWN, 0, sidecar)
 
     def _lose_tasks(self, sidecar: sidecars.Sidecar) -> None:
         for task in list(sidecar.tasks_by_id.values()):
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -42,6 +42,7 @@
         phase: Where it stands.
         number: Its starts so far, sent or not.
         failures: Runs that ended as failed.
+        estimate_ms: Expected run time at a worker of usual speed.
         sidecar_id: Where it was sent.
         avoided: Sidecars where a run failed or was too slow.
         placed_ms: When it was sent.
@@ -53,6 +54,7 @@
     job: "Job"
     step: work.Step
     phase: Phase
+    estimate_ms: float
     number: int = 0
     failures: int = 0
     sidecar_id: str = ""
@@ -65,6 +67,12 @@
 class Job:
     """A job at the entry that its caller is connected to.
 
+    Args:
+        request: What the caller submitted.
+        queue: The queue's configuration when it arrived.
+        estimates_ms: Expected run time of a task of each step.
+        now_ms: When it arrived.
+
     Attributes:
         request: What the caller submitted.
         queue: The queue's configuration when it arrived.
@@ -80,10 +88,15 @@
     """
 
     def __init__(
-        self, request: work.Request, queue: routing.Queue, now_ms: int
+        self,
+        request: work.Request,
+        queue: routing.Queue,
+        estimates_ms: tuple[float, ...],
+        now_ms: int,
     ) -> None:
         self.request = request
         self.queue = queue
+        self._estimates_ms = estimates_ms
         self.tasks_by_id = {
             task.id: task
             for number, step in enumerate(request.steps)
@@ -97,7 +110,7 @@
         # the caller says how long it waits for this one.
         self.deadline_ms = now_ms + request.wait_ms
         self.objective_ms = now_ms + int(
-            queue.objective_ms(_longest_chain_ms(request.steps))
+            queue.objective_ms(_longest_chain_ms(request.steps, estimates_ms))
         )
         self.waiters = 0
         self.ended: asyncio.Future[None] = (
@@ -150,17 +163,23 @@
         phase = Phase.BLOCKED if step.after else Phase.QUEUED
         return [
             Task(
-                work.TaskId(self.request.id, number, index), self, step, phase
+                work.TaskId(self.request.id, number, index),
+                self,
+                step,
+                phase,
+                self._estimates_ms[number],
             )
             for index in range(step.count)
         ]
 
 
-def _longest_chain_ms(steps: tuple[work.Step, ...]) -> float:
+def _longest_chain_ms(
+    steps: tuple[work.Step, ...], estimates_ms: tuple[float, ...]
+) -> float:
     ends_ms: list[float] = []
-    for step in steps:
+    for step, estimate_ms in zip(steps, estimates_ms, strict=True):
         begin_ms = max(
             (ends_ms[i] for i in step.after if i < len(ends_ms)), default=0.0
         )
-        ends_ms.append(begin_ms + step.estimate_ms)
+        ends_ms.append(begin_ms + estimate_ms)
     return max(ends_ms, default=0.0)
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -9,8 +9,13 @@
 # A worker with so many failures in a row or stuck runs gets no new task while
 # another can take it.
 _TROUBLE_LIMIT = 3
-# Each failure in a row counts like so much longer run time.
-_TROUBLE_PENALTY = 0.5
+# Learned slowness is off by about this share (see `worker.pace`).
+_SLOWNESS_MARGIN = 0.08
+# From an end at the worker to the caller: three hops and their processing.
+_OVERHEAD_MS = 15.0
+# The fastest worker is taken while it keeps this share of its room; beyond, the
+# emptiest one, so that fast workers have room for long tasks.
+_RESERVED_SHARE = 0.35
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,11 +26,13 @@
         sidecar: The sidecar.
         start_in_ms: Expected time until it starts.
         run_ms: Expected run time.
+        on_time: Whether the job should meet its objective there.
     """
 
     sidecar: sidecars.Sidecar
     start_in_ms: float
     run_ms: float
+    on_time: bool
 
     @property
     def end_in_ms(self) -> float:
@@ -48,26 +55,49 @@
 
 
 def choose(
-    task: jobs.Task, fleet: Iterable[sidecars.Sidecar]
+    task: jobs.Task, fleet: Iterable[sidecars.Sidecar], now_ms: int
 ) -> Choice | None:
-    """Returns where a task should end first, or None where none can run it."""
+    """Returns where a task is best sent, or None where none can run it.
+
+    A worker with room where the job will be on time goes first, then one
+    where it will be on time after waiting, then any other.
+    """
     able = candidates(task, fleet)
     sound = [
         sidecar
         for sidecar in able
         if sidecar.trouble < _TROUBLE_LIMIT and sidecar.id not in task.avoided
     ]
-    best: Choice | None = None
-    best_cost = float("inf")
-    for sidecar in sound or able:
-        start_in_ms = sidecar.room_in_ms(task.step.size)
-        run_ms = sidecar.run_ms(task.step.estimate_ms)
-        penalty = 1.0 + _TROUBLE_PENALTY * sidecar.trouble
-        cost = start_in_ms + run_ms * penalty
-        if cost < best_cost:
-            best_cost = cost
-            best = Choice(sidecar, start_in_ms, run_ms)
-    return best
+    choices = [_choice(task, sidecar, now_ms) for sidecar in sound or able]
+    if not choices:
+        return None
+    free = [choice for choice in choices if choice.start_in_ms == 0]
+    timely = [choice for choice in free if choice.on_time]
+    if timely:
+        return _spare_fast(timely)
+    waiting = [choice for choice in choices if choice.on_time]
+    return min(waiting or free or choices, key=lambda c: c.end_in_ms)
+
+
+def _choice(
+    task: jobs.Task, sidecar: sidecars.Sidecar, now_ms: int
+) -> Choice:
+    start_in_ms = sidecar.room_in_ms(task.step.size)
+    run_ms = sidecar.run_ms(task.estimate_ms)
+    left_ms = task.job.objective_ms - now_ms - _OVERHEAD_MS
+    on_time = start_in_ms + run_ms * (1 + _SLOWNESS_MARGIN) <= left_ms
+    return Choice(sidecar, start_in_ms, run_ms, on_time)
+
+
+def _spare_fast(timely: list[Choice]) -> Choice:
+    roomy = [
+        choice
+        for choice in timely
+        if choice.sidecar.free_share >= _RESERVED_SHARE
+    ]
+    if roomy:
+        return min(roomy, key=lambda choice: choice.run_ms)
+    return max(timely, key=lambda choice: choice.sidecar.free_share)
 
 
 def _may_run(sidecar: sidecars.Sidecar, task: jobs.Task) -> bool:
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -76,6 +76,13 @@
         """Returns when no run of this entry can be left there unheard."""
         return self.leased_ms + LEASE_MS + _AFTER_LEASE_MS
 
+    @property
+    def free_share(self) -> float:
+        """Returns the share of the worker's processors that is free."""
+        if self.worker is None or self.worker.cpu_millicores <= 0:
+            return 0.0
+        return self.free.cpu_millicores / self.worker.cpu_millicores
+
     def connect(self, connection: streams.Connection) -> None:
         """Takes a new stream in the place of an old one."""
         if self.connection is not None:
@@ -117,7 +124,7 @@
         ahead = len(self._unreported) * load.run_interval_ms
         return max(1.0, load.room_in_ms - waited_ms) + ahead
 
-    def run_ms(self, estimate_ms: int) -> float:
+    def run_ms(self, estimate_ms: float) -> float:
         """Returns the expected run time of a task."""
         return max(1.0, estimate_ms * self.slowness)
 
