--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 PACKAGES := core daemon cli standins
-SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src)
+SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src) platform/src
 BIN := $(VENV)/bin
 FLEET_ARGS ?=
 BENCH_ARGS ?=
@@ -31,7 +31,7 @@
 	@$(BIN)/pip install --quiet --disable-pip-version-check \
 	  -r requirements.txt >&2
 	@$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
-	  --no-build-isolation $(foreach package,$(PACKAGES),-e packages/$(package)) >&2
+	  --no-build-isolation $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform >&2
 	@touch $@
 
 format: setup  ## Formats all code.
--- a/packages/core/src/sardineroute_core/logs.py
+++ b/packages/core/src/sardineroute_core/logs.py
@@ -43,7 +43,9 @@
         self._lines += 1
         text = line + "\n"
         if self._dropped:
-            text = f'{{"event": "Dropped lines.", "n": {self._dropped}}}\n{text}'
+            text = (
+                f'{{"event": "Dropped lines.", "n": {self._dropped}}}\n{text}'
+            )
         if self._lines > _MAX_LINES_PER_S or not self._write(text.encode()):
             self._dropped += 1
             _DROPPED.inc()
--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -340,9 +340,7 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
-def _model_for(
-    path: pathlib.Path, document: dict[str, Any]
-) -> type[Settings]:
+def _model_for(path: pathlib.Path, document: dict[str, Any]) -> type[Settings]:
     role = document.get("role")
     models: dict[str, type[Any]] = dict(_ROLES_BY_NAME)
     if "adapter" in document:
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -133,9 +133,10 @@
         self, job: jobs.Job, caller: socket.socket | None
     ) -> None:
         loop = asyncio.get_running_loop()
-        gone = loop.create_future()
-        descriptor = caller.fileno() if caller is not None else -1
-        if descriptor >= 0:
+        gone: asyncio.Future[None] = loop.create_future()
+        descriptor = -1
+        if caller is not None and caller.fileno() >= 0:
+            descriptor = caller.fileno()
             loop.add_reader(descriptor, _watch_caller, loop, caller, gone)
         left_ms = max(0, job.deadline_ms - self._clock.now_ms())
         try:
@@ -192,20 +193,21 @@
 
         The room that a task would take is counted for those after it.
         """
-        choices = []
+        choices: list[tuple[jobs.Task, placement.Choice]] = []
         taken: dict[str, work.Size] = {}
         now_ms = self._clock.now_ms()
-        for task in job.queued():
-            choice = placement.choose(task, self.fleet.known(), now_ms)
-            if choice is None:
-                choices = None
-                break
-            sidecar = choice.sidecar
-            taken.setdefault(sidecar.id, sidecar.free)
-            sidecar.free = sidecar.free.minus(task.step.size)
-            choices.append((task, choice))
-        for sidecar_id, free in taken.items():
-            self.fleet.sidecars_by_id[sidecar_id].free = free
+        try:
+            for task in job.queued():
+                choice = placement.choose(task, self.fleet.known(), now_ms)
+                if choice is None:
+                    return None
+                sidecar = choice.sidecar
+                taken.setdefault(sidecar.id, sidecar.free)
+                sidecar.free = sidecar.free.minus(task.step.size)
+                choices.append((task, choice))
+        finally:
+            for sidecar_id, free in taken.items():
+                self.fleet.sidecars_by_id[sidecar_id].free = free
         return choices
 
     def _place(self, task: jobs.Task, choice: placement.Choice) -> None:
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -16,6 +16,8 @@
 # Silence, with tasks there, after which a stream is given up: three
 # renewals without an answer.
 _SILENCE_MS = 450
+# An idle sidecar is answered so often, so that it knows its stream works.
+_HEARTBEAT_MS = 800
 # A sidecar out of reach for so long, without tasks, is forgotten.
 _FORGET_MS = 60_000
 
@@ -141,11 +143,9 @@
 
     def _answer_heartbeat(self, sidecar: sidecars.Sidecar) -> None:
         # Lets the sidecar know that the stream still works.
-        if self._clock.now_ms() - sidecar.leased_ms >= 1_000:
-            if sidecar.connection is not None:
-                sidecar.connection.send(
-                    runmessages.Renew(sidecar.lease_until_ms())
-                )
+        idle_ms = self._clock.now_ms() - sidecar.leased_ms
+        if sidecar.connection is not None and idle_ms >= _HEARTBEAT_MS:
+            sidecar.connection.send(runmessages.Renew(sidecar.lease_until_ms()))
 
     def _take_run_end(
         self, sidecar: sidecars.Sidecar, message: runmessages.RunEnded
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -79,9 +79,7 @@
     return min(waiting or free or choices, key=lambda c: c.end_in_ms)
 
 
-def _choice(
-    task: jobs.Task, sidecar: sidecars.Sidecar, now_ms: int
-) -> Choice:
+def _choice(task: jobs.Task, sidecar: sidecars.Sidecar, now_ms: int) -> Choice:
     start_in_ms = sidecar.room_in_ms(task.step.size)
     run_ms = sidecar.run_ms(task.estimate_ms)
     left_ms = task.job.objective_ms - now_ms - _OVERHEAD_MS
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -61,9 +61,7 @@
         desk.routing_table = table
         peers.tell_version(table)
 
-    source = table_source.TableSource(
-        store, adapter.routing_table, time, apply
-    )
+    source = table_source.TableSource(store, adapter.routing_table, time, apply)
     peers.source = source
 
     async def handle(connection: streams.Connection) -> None:
--- a/packages/daemon/src/sardinerouted/hosted/peers.py
+++ b/packages/daemon/src/sardinerouted/hosted/peers.py
@@ -160,4 +160,8 @@
         try:
             await self.serve(connection)
         except streams.ConnectionLost as error:
-            _log.info("An entry is lost.", entry=connection.peer.id, why=str(error)[:80])
+            _log.info(
+                "An entry is lost.",
+                entry=connection.peer.id,
+                why=str(error)[:80],
+            )
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -160,11 +160,11 @@
         # Without a list of what the worker runs its room isn't known.
         if now_ms < self._blocked_until_ms or self._newest_list_ms == 0:
             return
-        while (run := self.runs.next_fitting()) is not None:
-            self.runs.begin(run)
+        while (fitting := self.runs.next_fitting()) is not None:
+            self.runs.begin(fitting)
             self._began.set()
             self._wanted.set()
-            self._spawn(self._order_start(run))
+            self._spawn(self._order_start(fitting))
 
     async def renew(self) -> None:
         """Renews the lease of the runs while there are any; never returns."""
@@ -266,9 +266,7 @@
 
     def _block(self, for_ms: int) -> None:
         self._blocked_until_ms = self._clock.now_ms() + for_ms
-        asyncio.get_running_loop().call_later(
-            (for_ms + 1) / 1_000, self.pump
-        )
+        asyncio.get_running_loop().call_later((for_ms + 1) / 1_000, self.pump)
 
     async def _order_stop(self, run: ledger.Run) -> None:
         while self.runs.find(run.ref.task) is run:
@@ -451,7 +449,9 @@
             waiting = run.phase is ledger.Phase.WAITING
             self._end(
                 run,
-                work.Outcome.REFUSED_LEAVING if waiting else work.Outcome.LAPSED,
+                work.Outcome.REFUSED_LEAVING
+                if waiting
+                else work.Outcome.LAPSED,
             )
 
     def _take_clock(self, clock_ms: int) -> None:
--- a/packages/daemon/src/sardinerouted/worker/ledger.py
+++ b/packages/daemon/src/sardinerouted/worker/ledger.py
@@ -141,6 +141,4 @@
             self._used = self._used.minus(run.size)
 
     def _wait(self, run: Run) -> None:
-        heapq.heappush(
-            self._waiting, (run.order.rank, next(self._order), run)
-        )
+        heapq.heappush(self._waiting, (run.order.rank, next(self._order), run))
--- a/packages/daemon/src/sardinerouted/worker/stations.py
+++ b/packages/daemon/src/sardinerouted/worker/stations.py
@@ -52,9 +52,7 @@
     lease_ms: int
     connection: streams.Connection | None = None
     taken: int = 0
-    unsent: list[runmessages.RunEnded] = dataclasses.field(
-        default_factory=list
-    )
+    unsent: list[runmessages.RunEnded] = dataclasses.field(default_factory=list)
     told_ms: int = 0
 
 
@@ -73,9 +71,7 @@
         self._clock = time
         self.executor = executor.Executor(time, client, self._report)
         self.executor.on_change = self._tell_worker
-        self._meter = load.Meter(
-            time, self.executor.runs, self.executor.pace
-        )
+        self._meter = load.Meter(time, self.executor.runs, self.executor.pace)
         self._stations_by_owner: dict[str, _Station] = {}
         self._dialers_by_address: dict[Address, asyncio.Task[None]] = {}
         self._changed = asyncio.Event()
--- /dev/null
+++ b/tests/fakeworker.py
@@ -0,0 +1,178 @@
+"""A worker in memory, with orders that are lost, late or refused."""
+
+import dataclasses
+import threading
+import time
+
+from sardineroute_core import hosting
+from sardineroute_core import runmessages
+from sardineroute_core import work
+
+CAPACITY = work.Size(cpu_millicores=4_000, memory_mb=1_000)
+
+
+class FakeWorker:
+    """Implements `hosting.WorkerClient`; its clock is 5 s behind ours.
+
+    Attributes:
+        mute_starts: So many starts are carried out without an answer.
+        lost_starts: So many starts are not answered, and kept for `replay`.
+        mute_stops: So many stops are not answered and not carried out.
+        replies: Replies to the next starts, in place of starting.
+        run_ms: Run time of each task.
+        most_at_once: The most millicores that ran at the same time.
+    """
+
+    def __init__(self, run_ms: int = 50) -> None:
+        self.mute_starts = 0
+        self.lost_starts = 0
+        self.mute_stops = 0
+        self.replies: list[hosting.StartReply] = []
+        self.run_ms = run_ms
+        self.most_at_once = 0
+        self.starts: list[hosting.RunRef] = []
+        self.tokens: set[int] = set()
+        self.highest_token = 0
+        self.incarnation = 7
+        self.running: dict[hosting.RunRef, float] = {}
+        self.lapsed = 0
+        self.lease_until_ms = 0
+        self._lost: list[tuple[hosting.RunRef, int]] = []
+        self._ended: list[hosting.EndedRun] = []
+        self._stopped: dict[work.TaskId, int] = {}
+        self._sequence = 0
+        self._lock = threading.Lock()
+
+    def clock_ms(self) -> int:
+        return int(time.monotonic() * 1_000) - 5_000
+
+    def start(
+        self,
+        worker: str,
+        run: hosting.RunRef,
+        payload: str,
+        lease_until_ms: int,
+        token: int,
+    ) -> tuple[hosting.StartReply, int | None]:
+        with self._lock:
+            self._advance()
+            if token < self.highest_token:
+                return hosting.StartReply.FENCED, self.clock_ms()
+            if self.replies:
+                return self.replies.pop(0), self.clock_ms()
+            if self.lost_starts:
+                self.lost_starts -= 1
+                self._lost.append((run, lease_until_ms))
+                raise hosting.Unanswered("lost")
+            reply = self._begin(run, lease_until_ms)
+            if self.mute_starts:
+                self.mute_starts -= 1
+                raise hosting.Unanswered("mute")
+            return reply, self.clock_ms()
+
+    def replay(self) -> list[hosting.StartReply]:
+        """Carries the lost starts out now."""
+        with self._lock:
+            self._advance()
+            lost, self._lost = self._lost, []
+            return [self._begin(run, until) for run, until in lost]
+
+    def stop(self, worker: str, run: hosting.RunRef, token: int) -> None:
+        with self._lock:
+            if self.mute_stops:
+                self.mute_stops -= 1
+                raise hosting.Unanswered("mute")
+            self._advance()
+            known = self._stopped.get(run.task, 0)
+            self._stopped[run.task] = max(known, run.number)
+            if self.running.pop(run, None) is not None:
+                self._end(run, work.Outcome.STOPPED)
+
+    def hold(
+        self,
+        worker: str,
+        lease_until_ms: int,
+        token: int,
+        acknowledged: int,
+        wait_ms: int,
+    ) -> hosting.Holdings:
+        until_s = time.monotonic() + wait_ms / 1_000
+        while True:
+            with self._lock:
+                self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+                self._advance()
+                self._ended = [
+                    end for end in self._ended if end.sequence > acknowledged
+                ]
+                if self._ended or time.monotonic() >= until_s:
+                    return hosting.Holdings(
+                        self.clock_ms(),
+                        self.incarnation,
+                        frozenset(self.running),
+                        tuple(self._ended),
+                    )
+            time.sleep(0.002)
+
+    def _begin(
+        self, run: hosting.RunRef, lease_until_ms: int
+    ) -> hosting.StartReply:
+        if lease_until_ms <= self.clock_ms():
+            return hosting.StartReply.LATE
+        if run.number <= self._stopped.get(run.task, 0):
+            return hosting.StartReply.OLD
+        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
+        self.starts.append(run)
+        self.running[run] = time.monotonic() + self.run_ms / 1_000
+        self.most_at_once = max(self.most_at_once, len(self.running))
+        return hosting.StartReply.STARTED
+
+    def _advance(self) -> None:
+        if self.running and self.clock_ms() > self.lease_until_ms:
+            for run in list(self.running):
+                del self.running[run]
+                self.lapsed += 1
+                self._end(run, work.Outcome.LAPSED)
+        for run, end_s in list(self.running.items()):
+            if time.monotonic() >= end_s:
+                del self.running[run]
+                self._end(run, work.Outcome.DONE)
+
+    def _end(self, run: hosting.RunRef, outcome: work.Outcome) -> None:
+        self._sequence += 1
+        self._ended.append(hosting.EndedRun(self._sequence, run, outcome))
+
+
+def registration(
+    worker: FakeWorker, sequence: int = 1, draining: bool = False
+) -> hosting.Registration:
+    """Returns a heartbeat of the worker."""
+    return hosting.Registration(
+        id="w-1",
+        incarnation=worker.incarnation,
+        sequence=sequence,
+        service="receipts",
+        capacity=CAPACITY,
+        labels=("a", "rack-1"),
+        draining=draining,
+        clock_ms=worker.clock_ms(),
+    )
+
+
+def order(job: str, now_ms: int, **changes: object) -> runmessages.StartRun:
+    """Returns a start of one core for the first task of a job."""
+    plain = runmessages.StartRun(
+        job=job,
+        step=0,
+        index=0,
+        number=1,
+        payload="{}",
+        cpu_millicores=1_000,
+        memory_mb=10,
+        gpus=0,
+        estimate_ms=50,
+        rank=now_ms + 500,
+        start_by_ms=now_ms + 2_000,
+        lease_ms=now_ms + 600,
+        traceparent="",
+    )
+    return dataclasses.replace(plain, **changes)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/hostedrig.py
@@ -0,0 +1,185 @@
+"""Entries and sidecars in one event loop, with fake workers."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+
+import fakeworker
+
+from sardineroute_core import clock
+from sardineroute_core import errors
+from sardineroute_core import messages
+from sardineroute_core import routing
+from sardineroute_core import settings
+from sardineroute_core import streams
+from sardineroute_core import work
+from sardinerouted.dispatching import desk as desks
+from sardinerouted.worker import stations
+
+QUEUE = routing.Queue(
+    name="issue",
+    hostname="a.example",
+    path_prefix="/issue/",
+    service="receipts",
+    timeout_ms=0,
+    target_latency_ms=300,
+    stretch=2.0,
+    priority=0,
+    max_attempts=3,
+)
+_SECRET = "a secret of sixteen"
+
+
+class Entry:
+    """An entry that sidecars can dial."""
+
+    def __init__(self, number: int) -> None:
+        self.identity = streams.Identity(
+            f"entry-{number}", messages.Role.ENTRY, f"life-{number}"
+        )
+        self.desk = desks.Desk(clock.Clock())
+        self.address = ("127.0.0.1", 0)
+        self.connections: list[streams.Connection] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        async def handle(connection: streams.Connection) -> None:
+            self.connections.append(connection)
+            await self.desk.fleet.serve(connection)
+
+        self._server = await streams.serve(
+            _streams(0), self.identity, clock.Clock(), handle
+        )
+        self.address = self._server.sockets[0].getsockname()[:2]
+        self._tasks.append(asyncio.create_task(self.desk.watch()))
+
+    def freeze(self) -> None:
+        """Neither renews leases nor looks after its jobs any more."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def stop(self) -> None:
+        self.freeze()
+        if self._server is not None:
+            self._server.close()
+        for connection in self.connections:
+            connection.abort()
+
+    async def submit(self, job_id: str, tasks: int = 2, **step: object) -> str:
+        """Returns the state of the job, or the code of its error."""
+        values = {
+            "count": tasks,
+            "size": work.Size(1_000, 10),
+            "estimate_ms": 50,
+            **step,
+        }
+        request = work.Request(
+            job_id,
+            "{}",
+            (work.Step(**values),),  # type: ignore[arg-type]
+            wait_ms=3_000,
+        )
+        try:
+            return await self.desk.run(request, QUEUE, None)
+        except errors.Error as error:
+            return f"{error.kind.value} {error.ran.value}"
+
+
+class Rig:
+    """A small fleet."""
+
+    def __init__(self, workers: list[fakeworker.FakeWorker]) -> None:
+        self.workers = workers
+        self.entries: list[Entry] = []
+        self.sidecars: list[stations.Stations] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, entries: int) -> None:
+        for number in range(entries):
+            entry = Entry(number)
+            await entry.start()
+            self.entries.append(entry)
+        for number in range(len(self.workers)):
+            self.add_sidecar(number)
+        for entry in self.entries:
+            await self.until(
+                lambda e=entry: (  # type: ignore[misc]
+                    e.desk.fleet.usable_count() == len(self.workers)
+                )
+            )
+
+    def add_sidecar(self, number: int, life: int = 0) -> stations.Stations:
+        worker = self.workers[number]
+        options = settings.HostedSidecar.model_validate(
+            {
+                "role": "sidecar",
+                "adapter": "none",
+                "id": f"sidecar-{number}",
+                "failure_domain": "zone-1",
+                "store": "127.0.0.1:1",
+                "seed_port": 1,
+                "metrics": "127.0.0.1:1",
+                "worker": "127.0.0.1:1",
+                "control": "127.0.0.1:1",
+                "streams": {"listen": "127.0.0.1:0", "secret": _SECRET},
+            }
+        )
+        identity = streams.Identity(
+            options.id, messages.Role.SIDECAR, f"{options.id}-{life}"
+        )
+        sidecar = stations.Stations(options, identity, clock.Clock(), worker)
+        for work_to_do in (
+            sidecar.watch(),
+            sidecar.tell_load(),
+            sidecar.executor.renew(),
+            sidecar.executor.await_ends(),
+        ):
+            self._tasks.append(asyncio.create_task(work_to_do))
+        sidecar.learn([entry.address for entry in self.entries])
+        sidecar.executor.register(fakeworker.registration(worker))
+        self.sidecars.append(sidecar)
+        return sidecar
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        end_s = time.monotonic() + 5.0
+        while not holds():
+            assert time.monotonic() < end_s
+            await asyncio.sleep(0.005)
+
+    def running(self) -> int:
+        return sum(len(worker.running) for worker in self.workers)
+
+    def starts(self) -> list[str]:
+        return [
+            f"{ref.task.job}/{ref.task.index}"
+            for worker in self.workers
+            for ref in worker.starts
+        ]
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for entry in self.entries:
+            await entry.stop()
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    entries: int, workers: list[fakeworker.FakeWorker]
+) -> AsyncIterator[Rig]:
+    """Runs a fleet with a sidecar for each worker."""
+    rig = Rig(workers)
+    await rig.start(entries)
+    try:
+        yield rig
+    finally:
+        await rig.stop()
+
+
+def _streams(port: int) -> settings.Streams:
+    return settings.Streams.model_validate(
+        {"listen": {"host": "127.0.0.1", "port": port}, "secret": _SECRET}
+    )
--- /dev/null
+++ b/tests/platformserver.py
@@ -0,0 +1,134 @@
+"""A small stand-in of the platform's store and of a worker, over HTTP."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+
+class Platform:
+    """What the stand-in holds and how it misbehaves.
+
+    Attributes:
+        partitions: Records of each topic: key, value.
+        first: The oldest offset that a topic still has.
+        status: Status of all answers while set.
+        silent: Whether calls get no answer.
+        orders: Bodies of the orders to the worker, with path.
+        order_reply: Status and body of the answer to an order.
+    """
+
+    def __init__(self) -> None:
+        self.partitions: dict[str, list[tuple[str, bytes]]] = {}
+        self.first: dict[str, int] = {}
+        self.status = 0
+        self.silent = False
+        self.orders: list[tuple[str, dict[str, Any], str]] = []
+        self.order_reply: tuple[int, Any] = (200, {"clockMs": 5})
+        self.address = ""
+
+    def append(self, topic: str, key: str, value: bytes) -> None:
+        self.partitions.setdefault(topic, []).append((key, value))
+
+
+@contextmanager
+def serve() -> Iterator[Platform]:
+    """Runs the stand-in on loopback."""
+    platform = Platform()
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def log_message(self, *_: Any) -> None:
+            pass
+
+        def do_GET(self) -> None:
+            self._answer(*_store_get(platform, self.path))
+
+        def do_POST(self) -> None:
+            body = self.rfile.read(int(self.headers["Content-Length"]))
+            if self.path.startswith("/v1/log-append"):
+                self._answer(*_store_append(platform, self.path, body))
+                return
+            target = self.headers.get("Target-Instance", "")
+            platform.orders.append((self.path, json.loads(body), target))
+            status, document = platform.order_reply
+            content = document
+            if not isinstance(document, bytes):
+                content = json.dumps(document).encode()
+            self._answer(status, content)
+
+        def _answer(self, status: int, body: bytes) -> None:
+            if platform.silent:
+                time.sleep(1.0)
+                self.close_connection = True
+                return
+            self.send_response(platform.status or status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    server.daemon_threads = True
+    platform.address = f"127.0.0.1:{server.server_address[1]}"
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+    thread.start()
+    try:
+        yield platform
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
+
+
+def _store_get(platform: Platform, target: str) -> tuple[int, bytes]:
+    path, _, text = target.partition("?")
+    query = dict(urllib.parse.parse_qsl(text))
+    records = platform.partitions.get(query["topic"], [])
+    if path == "/v1/log-newest":
+        newest = {
+            key: (value, offset) for offset, (key, value) in enumerate(records)
+        }
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in sorted(newest.items())
+            if key > query.get("after", "")
+        ]
+        document = {
+            "items": items[:2],
+            "hasMore": len(items) > 2,
+            "end": len(records),
+        }
+        return 200, json.dumps(document).encode()
+    offset = int(query["from"])
+    first = platform.first.get(query["topic"], 0)
+    if offset < first:
+        return 410, json.dumps({"first": first}).encode()
+    body = len(records).to_bytes(8, "big") + first.to_bytes(8, "big")
+    for key, value in records[offset:]:
+        content = bytes([len(key)]) + key.encode() + value
+        body += len(content).to_bytes(4, "big") + content
+    return 200, body
+
+
+def _store_append(
+    platform: Platform, target: str, body: bytes
+) -> tuple[int, bytes]:
+    query = dict(urllib.parse.parse_qsl(target.partition("?")[2]))
+    length = int.from_bytes(body[:4], "big")
+    content = body[4 : 4 + length]
+    key_end = 1 + content[0]
+    if not platform.status:
+        platform.append(
+            query["topic"], content[1:key_end].decode(), content[key_end:]
+        )
+    return 200, b"{}"
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,290 @@
+"""The translation of the platform's messages, good and bad ones."""
+
+import json
+from typing import Any
+
+import platformserver
+import pytest
+from hypothesis import given
+from hypothesis import strategies
+
+from sardineroute_core import errors
+from sardineroute_core import hosting
+from sardineroute_core import work
+from sardineroute_platform import callers
+from sardineroute_platform import heartbeats
+from sardineroute_platform import operator
+from sardineroute_platform import orders
+from sardineroute_platform import store
+
+ROUTE = {
+    "name": "r-1",
+    "hostname": "A.example",
+    "pathPrefix": "/a/",
+    "timeoutMs": 1500,
+    "targetLatencyMs": 60,
+    "priority": 2,
+    "service": "s",
+    "maxAttempts": 3,
+    "stretch": 1.6,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE, {**ROUTE, "name": "r-2", "pathPrefix": "/a/b/"}],
+    "services": [{"name": "s"}],
+}
+HEARTBEAT = {
+    "service": "s",
+    "address": "10.0.0.1:1",
+    "state": "ready",
+    "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482_113,
+    "sequence": 4,
+    "born": 99,
+}
+JOB = {
+    "spec": "text",
+    "bestEffort": True,
+    "steps": [{"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 90}],
+}
+
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner)
+    ),
+    max_leaves=6,
+)
+
+
+def test_configuration_finds_the_longest_prefix_of_the_host() -> None:
+    table = operator.decode(json.dumps(CONFIGURATION).encode())
+    assert table.version == 7
+    queue = table.find("a.example:8161", "/a/b/00")
+    assert queue is not None
+    assert queue.name == "r-2"
+    assert queue.objective_ms(1_000) == 1_660
+    assert table.find("a.example", "/b/") is None
+    assert table.find("b.example", "/a/") is None
+
+
+def test_heartbeat_is_decoded() -> None:
+    body = json.dumps(HEARTBEAT).encode()
+    known = heartbeats.decode("i-1", body)
+    assert known.capacity == work.Size(16_000, 32_768, 0)
+    assert known.incarnation == 99
+    assert known.labels == ("a", "r1-3")
+    assert not known.draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "dancing"},
+        {"state": 4},
+        {"service": None},
+        {"sequence": "4"},
+        {"capacity": []},
+        {"capacity": {"cpu": "many"}},
+        {"labels": "a"},
+        {"born": 1.5},
+    ],
+)
+def test_heartbeat_of_another_writer_is_refused(change: Any) -> None:
+    body = json.dumps({**HEARTBEAT, **change}).encode()
+    with pytest.raises(hosting.UnusableRecord):
+        heartbeats.decode("i-1", body)
+
+
+@given(JSON_VALUES, strategies.sampled_from(sorted(HEARTBEAT)))
+def test_any_heartbeat_is_read_or_refused(value: Any, name: str) -> None:
+    body = json.dumps({**HEARTBEAT, name: value}).encode()
+    try:
+        heartbeats.decode("i-1", body)
+    except hosting.UnusableRecord:
+        return
+
+
+@given(
+    JSON_VALUES,
+    strategies.sampled_from(["version", "routes", "services"]),
+)
+def test_any_configuration_is_read_or_refused(value: Any, name: str) -> None:
+    record = json.dumps({**CONFIGURATION, name: value}).encode()
+    try:
+        operator.decode(record)
+    except hosting.UnusableRecord:
+        return
+
+
+@given(strategies.binary(max_size=40))
+def test_bytes_that_are_no_json_are_refused(body: bytes) -> None:
+    for decode in (operator.decode, lambda b: heartbeats.decode("i", b)):
+        with pytest.raises(hosting.UnusableRecord):
+            decode(body)
+
+
+def test_job_is_decoded() -> None:
+    job = callers.decode("0" * 16, json.dumps(JOB).encode(), 1_900)
+    assert job.payload == "text"
+    assert job.wait_ms == 1_900
+    assert job.steps == (work.Step(2, work.Size(500, 64, 0), 90),)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"bestEffort": False},
+        {"repeatCount": 2},
+        {"steps": [{"count": 2, "gang": True}]},
+        {"steps": [{"count": 2, "longRunning": True}]},
+    ],
+)
+def test_job_that_is_not_run_here_is_refused_as_not_run(change: Any) -> None:
+    with pytest.raises(errors.Error) as raised:
+        callers.decode("0" * 16, json.dumps({**JOB, **change}).encode(), 1)
+    assert raised.value.ran is errors.Ran.NO
+    assert errors.ANSWERS_BY_KIND[raised.value.kind].status == 503
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"steps": []},
+        {"steps": {}},
+        {"steps": [3]},
+        {"steps": [{"count": "2"}]},
+        {"steps": [{"after": ["x"]}]},
+        {"steps": [{"after": [0]}]},
+        {"steps": [{"count": 1_701}]},
+        {"steps": [{"count": 0}]},
+        {"spec": 3},
+    ],
+)
+def test_unreadable_job_is_refused(change: Any) -> None:
+    with pytest.raises(hosting.UnusableRecord):
+        callers.decode("0" * 16, json.dumps({**JOB, **change}).encode(), 1)
+
+
+def test_task_names_are_told_apart() -> None:
+    task = work.TaskId("5c0e7a21d94b36f8", 1, 17)
+    assert orders.decode_task(orders.encode_task(task)) == task
+    for name in ("", "a.b.c.d", "5c0e.0.1", "5c0e.0.1.2.3"):
+        with pytest.raises(hosting.UnusableRecord):
+            orders.decode_task(name)
+
+
+RUN = hosting.RunRef(work.TaskId("5c0e7a21d94b36f8", 0, 3), 2)
+
+
+def test_start_carries_lease_token_and_worker() -> None:
+    with platformserver.serve() as platform:
+        client = orders.Client(platform.address)
+        reply = client.start("i-1", RUN, "text", 486_000, 7)
+        assert reply == (hosting.StartReply.STARTED, 5)
+        path, body, target = platform.orders[0]
+        assert (path, target) == ("/v1/run-start", "i-1")
+        assert body["task"] == "5c0e7a21d94b36f8.0.0.3"
+        assert body["deadlineMs"] == 486_000
+        assert body["fencingToken"] == 7
+
+
+@pytest.mark.parametrize(
+    ("status", "document", "reply"),
+    [
+        (409, {"reason": "old"}, hosting.StartReply.OLD),
+        (409, {"reason": "room"}, hosting.StartReply.FULL),
+        (409, {"reason": "fence"}, hosting.StartReply.FENCED),
+        (409, {"reason": "late"}, hosting.StartReply.LATE),
+        (409, {"reason": "new"}, hosting.StartReply.INVALID),
+        (421, {}, hosting.StartReply.OTHER_WORKER),
+        (503, b"", hosting.StartReply.UNHEALTHY),
+        (400, b"", hosting.StartReply.INVALID),
+    ],
+)
+def test_refusals_of_a_start_are_told_apart(
+    status: int, document: Any, reply: hosting.StartReply
+) -> None:
+    with platformserver.serve() as platform:
+        platform.order_reply = (status, document)
+        client = orders.Client(platform.address)
+        assert client.start("i-1", RUN, "", 1, 1)[0] is reply
+
+
+@pytest.mark.parametrize("reply", [(500, b""), (200, b"not json")])
+def test_answer_that_says_nothing_counts_as_none(reply: Any) -> None:
+    with platformserver.serve() as platform:
+        platform.order_reply = reply
+        client = orders.Client(platform.address)
+        with pytest.raises(hosting.Unanswered):
+            client.start("i-1", RUN, "", 1, 1)
+
+
+def test_list_of_runs_is_decoded_in_order_of_ends() -> None:
+    with platformserver.serve() as platform:
+        name = "5c0e7a21d94b36f8.0.0.3"
+        platform.order_reply = (
+            200,
+            {
+                "clockMs": 9,
+                "born": 4,
+                "running": [[name, 2, "", 41]],
+                "endedRuns": [
+                    [6, name, 1, "failed", ""],
+                    [5, name, 1, "done", ""],
+                ],
+            },
+        )
+        held = orders.Client(platform.address).hold("i-1", 10, 7, 4, 0)
+        assert held.running == frozenset({RUN})
+        assert [end.sequence for end in held.ended] == [5, 6]
+        assert held.ended[0].outcome is work.Outcome.DONE
+        assert held.incarnation == 4
+
+
+@pytest.mark.parametrize("rows", [[3], [["x"]], [["a.0.0.1", "2"]], "x"])
+def test_garbled_list_of_runs_counts_as_no_answer(rows: Any) -> None:
+    with platformserver.serve() as platform:
+        platform.order_reply = (200, {"clockMs": 9, "running": rows})
+        with pytest.raises(hosting.Unanswered):
+            orders.Client(platform.address).hold("i-1", 10, 7, 4, 0)
+
+
+def test_store_keeps_and_reads_keyed_records() -> None:
+    with platformserver.serve() as platform:
+        client = store.Client(platform.address)
+        for number in range(5):
+            client.append("entries", f"k{number}", b"%d" % number)
+        batch = client.newest("entries")
+        assert [record.value for record in batch.records] == [
+            b"0",
+            b"1",
+            b"2",
+            b"3",
+            b"4",
+        ]
+        assert batch.next_offset == 5
+        client.append("entries", "k0", b"new")
+        later = client.read("entries", batch.next_offset, 0)
+        assert [(r.key, r.value) for r in later.records] == [("k0", b"new")]
+        assert later.next_offset == 6
+
+
+def test_lost_history_and_refusals_of_the_store_are_told_apart() -> None:
+    with platformserver.serve() as platform:
+        client = store.Client(platform.address)
+        platform.first["keyed.op"] = 9
+        with pytest.raises(hosting.HistoryLost):
+            client.read("configuration", 3, 0)
+        platform.status = 503
+        with pytest.raises(hosting.Rejected):
+            client.newest("configuration")
+        platform.status = 0
+        platform.silent = True
+        with pytest.raises(hosting.Unanswered):
+            client.newest("configuration")
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,263 @@
+"""Runs at a worker: room, leases, lost orders, strangers and draining."""
+
+import asyncio
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import fakeworker
+import pytest
+
+from sardineroute_core import clock
+from sardineroute_core import hosting
+from sardineroute_core import work
+from sardinerouted.worker import executor
+from sardinerouted.worker import ledger
+
+Test = Callable[["Rig"], Awaitable[None]]
+
+
+class Rig:
+    """An executor at a fake worker."""
+
+    def __init__(self, worker: fakeworker.FakeWorker) -> None:
+        self.worker = worker
+        self.clock = clock.Clock()
+        self.ends: list[tuple[str, int, work.Outcome]] = []
+        self.executor = executor.Executor(self.clock, worker, self._report)
+
+    def take(self, job: str, **changes: object) -> None:
+        now_ms = self.clock.now_ms()
+        self.executor.take(fakeworker.order(job, now_ms, **changes), "entry-1")
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        end_s = time.monotonic() + 5.0
+        while not holds():
+            assert time.monotonic() < end_s, self.ends
+            await asyncio.sleep(0.005)
+
+    def outcomes(self) -> dict[str, work.Outcome]:
+        return {job: outcome for job, _, outcome in self.ends}
+
+    def _report(
+        self, run: ledger.Run, outcome: work.Outcome, run_ms: int
+    ) -> None:
+        self.ends.append((run.ref.task.job, run.ref.number, outcome))
+
+
+def run(test: Test, worker: fakeworker.FakeWorker) -> None:
+    async def main() -> None:
+        rig = Rig(worker)
+        loops = [
+            asyncio.create_task(rig.executor.renew()),
+            asyncio.create_task(rig.executor.await_ends()),
+        ]
+        rig.executor.register(fakeworker.registration(worker))
+        try:
+            await test(rig)
+        finally:
+            for loop in loops:
+                loop.cancel()
+
+    asyncio.run(main())
+
+
+def test_runs_never_take_more_than_the_room() -> None:
+    async def test(rig: Rig) -> None:
+        for number in range(12):
+            rig.take(f"job-{number}")
+        await rig.until(lambda: len(rig.ends) == 12)
+        assert set(rig.outcomes().values()) == {work.Outcome.DONE}
+        assert rig.worker.most_at_once == 4
+
+    run(test, fakeworker.FakeWorker())
+
+
+def test_nothing_starts_before_the_worker_has_told_what_it_runs() -> None:
+    worker = fakeworker.FakeWorker(run_ms=300)
+    left_over = hosting.RunRef(work.TaskId("left-over", 0, 0), 1)
+    worker.lease_until_ms = worker.clock_ms() + 1_000
+    worker.running[left_over] = time.monotonic() + 10
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        assert not rig.worker.starts
+        await rig.until(lambda: bool(rig.worker.starts))
+        assert left_over not in rig.worker.running
+
+    run(test, worker)
+
+
+def test_start_without_an_answer_that_ran_is_stopped_and_told() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+    worker.mute_starts = 1
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.STOPPED}
+        assert not rig.worker.running
+
+    run(test, worker)
+
+
+def test_start_carried_out_late_does_nothing() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+    worker.lost_starts = 1
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.ends))
+        assert rig.outcomes()["job-1"].never_started
+        assert rig.worker.replay() == [hosting.StartReply.OLD]
+        assert not rig.worker.running
+
+    run(test, worker)
+
+
+def test_run_whose_stop_is_lost_keeps_its_room_until_it_ends() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+    worker.mute_stops = 3
+
+    async def test(rig: Rig) -> None:
+        rig.take("big", cpu_millicores=4_000)
+        await rig.until(lambda: bool(rig.worker.running))
+        await asyncio.sleep(0.05)
+        held = rig.executor.runs.find(work.TaskId("big", 0, 0))
+        assert held is not None
+        rig.executor.stop(held, work.Outcome.STOPPED)
+        rig.take("next", cpu_millicores=4_000)
+        await asyncio.sleep(0.02)
+        assert len(rig.worker.running) == 1
+        await rig.until(lambda: "big" in rig.outcomes())
+        await rig.until(lambda: len(rig.worker.starts) == 2)
+        assert rig.worker.most_at_once == 1
+
+    run(test, worker)
+
+
+def test_lease_is_renewed_while_runs_last_and_lapses_without() -> None:
+    worker = fakeworker.FakeWorker(run_ms=1_500)
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.DONE}
+        now_ms = rig.worker.clock_ms()
+        assert rig.worker.lease_until_ms <= now_ms + executor.RUN_LEASE_MS
+
+    run(test, worker)
+
+
+def test_higher_token_is_taken_when_the_worker_has_seen_one() -> None:
+    worker = fakeworker.FakeWorker()
+    worker.highest_token = int(time.time() * 1_000) + 100_000
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.DONE}
+
+    run(test, worker)
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (hosting.StartReply.OLD, work.Outcome.REFUSED_OLD),
+        (hosting.StartReply.UNHEALTHY, work.Outcome.REFUSED_BY_WORKER),
+        (hosting.StartReply.OTHER_WORKER, work.Outcome.REFUSED_BY_WORKER),
+        (hosting.StartReply.FULL, work.Outcome.DONE),
+    ],
+)
+def test_refusal_by_the_worker_is_told(
+    reply: hosting.StartReply, outcome: work.Outcome
+) -> None:
+    worker = fakeworker.FakeWorker()
+    worker.replies = [reply]
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": outcome}
+
+    run(test, worker)
+
+
+def test_draining_worker_gets_nothing_new_and_finishes_what_runs() -> None:
+    worker = fakeworker.FakeWorker(run_ms=200)
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.worker.running))
+        rig.executor.register(
+            fakeworker.registration(rig.worker, sequence=2, draining=True)
+        )
+        rig.take("job-2")
+        await rig.until(lambda: len(rig.ends) == 2)
+        assert rig.outcomes() == {
+            "job-1": work.Outcome.DONE,
+            "job-2": work.Outcome.REFUSED_LEAVING,
+        }
+
+    run(test, worker)
+
+
+def test_new_life_of_the_worker_ends_the_runs_of_the_old_one() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.worker.running))
+        rig.worker.running.clear()
+        rig.worker.incarnation += 1
+        rig.executor.register(fakeworker.registration(rig.worker))
+        assert rig.outcomes() == {"job-1": work.Outcome.LAPSED}
+        rig.take("job-2")
+        await rig.until(lambda: bool(rig.worker.running))
+
+    run(test, worker)
+
+
+def test_heartbeat_of_an_earlier_life_is_dropped() -> None:
+    worker = fakeworker.FakeWorker()
+
+    async def test(rig: Rig) -> None:
+        late = fakeworker.registration(rig.worker, sequence=90, draining=True)
+        rig.worker.incarnation += 1
+        rig.executor.register(fakeworker.registration(rig.worker))
+        rig.executor.register(late)
+        assert rig.executor.accepts
+
+    run(test, worker)
+
+
+def test_run_that_waits_too_long_is_handed_back() -> None:
+    worker = fakeworker.FakeWorker(run_ms=400)
+
+    async def test(rig: Rig) -> None:
+        rig.take("big", cpu_millicores=4_000)
+        now_ms = rig.clock.now_ms()
+        rig.take("next", start_by_ms=now_ms + 50)
+        await asyncio.sleep(0.1)
+        rig.executor.pump()
+        assert rig.outcomes() == {"next": work.Outcome.REFUSED_FULL}
+        await rig.until(lambda: "big" in rig.outcomes())
+
+    run(test, worker)
+
+
+def test_task_of_another_entry_is_stopped_before_it_runs_again() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.worker.running))
+        now_ms = rig.clock.now_ms()
+        again = fakeworker.order("job-1", now_ms, number=1)
+        rig.executor.take(again, "entry-2")
+        assert rig.ends == [("job-1", 1, work.Outcome.REFUSED_BUSY)]
+        await rig.until(lambda: not rig.worker.running)
+        assert len(rig.worker.starts) == 1
+
+    run(test, worker)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,11 +1,15 @@
 """The form of log lines, by settings."""
 
 import json
+import os
 import subprocess
 import sys
+import time
 
 import pytest
 
+from sardineroute_core import logs
+
 PROGRAM = """
 from sardineroute_core import logs
 from sardineroute_core import settings
@@ -26,8 +30,8 @@
         text=True,
         check=True,
     )
-    assert ended.stdout == ""
-    return ended.stderr.splitlines()
+    assert ended.stderr == ""
+    return ended.stdout.splitlines()
 
 
 def test_json_line_has_level_time_prefix_and_values() -> None:
@@ -45,3 +49,19 @@
 @pytest.mark.parametrize("part", ["[front] It failed.", "worker=w-1", "error"])
 def test_console_line_reads_for_people(part: str) -> None:
     assert part in _lines("console")[0]
+
+
+def test_reader_that_stalls_holds_nobody_up() -> None:
+    reading, writing = os.pipe()
+    output = logs.Output(writing)
+    began_s = time.monotonic()
+    for _ in range(1_500):
+        output.msg("x" * 200)
+    assert time.monotonic() - began_s < 1.0
+    os.set_blocking(reading, False)
+    received = os.read(reading, 1_000_000)
+    assert set(received.splitlines()) == {b"x" * 200}
+    output.msg("again")
+    told = os.read(reading, 1_000_000).splitlines()
+    assert b"Dropped lines." in told[0]
+    assert told[1] == b"again"
