Start nothing past the lease of the entry that asked, or for another life of the worker

Cause: by reading. A sidecar that thaws finds orders in its buffer whose entry gave them up and may have sent the tasks elsewhere; its next check of leases came up to 50 ms later. An entry that thaws could send tasks again for callers that had left. Orders now name the worker's life they are meant for. Tests: test_executor -k lease, -k life; test_desk -k left.

--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -5,13 +5,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRun:
-    """Asks a sidecar to start a run of a task.
+    """Asks a sidecar to start a run of a task at this life of its worker.
 
     Times are in the sidecar's clock: the run must have started by
     `start_by_ms`, and `lease_ms` renews the sender's lease. Of those that
     wait for room, the one with the lowest `rank` goes first.
     """
 
+    worker: str
+    incarnation: int
     job: str
     step: int
     index: int
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -29,6 +29,8 @@
 _STRAGGLER_RATIO = 3.0
 _STRAGGLER_MIN_MS = 500
 _CHECK_MS = 50
+# A pause of the process that callers and sidecars may have noticed.
+_STALL_MS = 300
 _RETRY_AFTER_MS = 1_000
 # A job that no worker in reach can run is refused after this share of its
 # objective.
@@ -104,12 +106,12 @@
             about: traces.Attributes = {"job": request.id, "queue": queue.name}
             with traces.span("job", "", about):
                 self._admit(job)
-        job.waiters += 1
+        job.callers.append(caller)
         try:
             await self._await_end(job, caller)
         finally:
-            job.waiters -= 1
-            if job.waiters == 0:
+            job.callers.remove(caller)
+            if not job.callers:
                 self._give_up(job, "the caller has left")
         if job.error is not None:
             raise job.error
@@ -122,10 +124,17 @@
 
     async def watch(self) -> None:
         """Retries, renews and gives up in time; never returns."""
+        checked_ms = self._clock.now_ms()
         while True:
             await asyncio.sleep(_CHECK_MS / 1_000)
-            self.fleet.check()
             now_ms = self._clock.now_ms()
+            stalled_ms = now_ms - checked_ms - _CHECK_MS
+            checked_ms = now_ms
+            if stalled_ms > _STALL_MS:
+                # What arrived meanwhile is read first: callers may have left.
+                _log.warning("The process was stalled.", stalled_ms=stalled_ms)
+                continue
+            self.fleet.check()
             for job in list(self._jobs_by_id.values()):
                 self._check(job, now_ms)
 
@@ -228,6 +237,8 @@
         sidecar.send_start(
             task,
             runmessages.StartRun(
+                worker=sidecar.worker_id,
+                incarnation=sidecar.worker_incarnation,
                 job=task.id.job,
                 step=task.id.step,
                 index=task.id.index,
@@ -301,6 +312,10 @@
         """Places the queued tasks of a job, or gives it up."""
         if job.is_over:
             return
+        if all(_has_left(caller) for caller in job.callers):
+            # Its caller may send it again to another entry.
+            self._give_up(job, "the caller has left")
+            return
         now_ms = self._clock.now_ms()
         late_ms = self._worthless_ms(job)
         for task in job.queued():
@@ -455,13 +470,19 @@
     gone: asyncio.Future[None],
 ) -> None:
     """Completes `gone` when a waiting caller closes its connection."""
-    try:
-        left = not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return
-    except OSError:
-        left = True
     # Bytes of a next request say nothing of this one.
     loop.remove_reader(caller.fileno())
-    if left and not gone.done():
+    if _has_left(caller) and not gone.done():
         gone.set_result(None)
+
+
+def _has_left(caller: socket.socket | None) -> bool:
+    """Returns whether a caller has closed its connection."""
+    if caller is None:
+        return False
+    try:
+        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import socket
 
 from sardineroute_core import errors
 from sardineroute_core import routing
@@ -83,7 +84,7 @@
         received_ms: When it arrived.
         deadline_ms: When its caller stops waiting.
         objective_ms: When it is late.
-        waiters: Callers that wait for it.
+        callers: Connections of the callers that wait for it.
         ended: Completes when the job is over.
     """
 
@@ -112,7 +113,7 @@
         self.objective_ms = now_ms + int(
             queue.objective_ms(_longest_chain_ms(request.steps, estimates_ms))
         )
-        self.waiters = 0
+        self.callers: list[socket.socket | None] = []
         self.ended: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -71,6 +71,16 @@
             and self.worker.ready
         )
 
+    @property
+    def worker_id(self) -> str:
+        """Returns the id of its worker."""
+        return self.worker.id if self.worker else ""
+
+    @property
+    def worker_incarnation(self) -> int:
+        """Returns the life of its worker."""
+        return self.worker.incarnation if self.worker else 0
+
     @property
     def safe_ms(self) -> int:
         """Returns when no run of this entry can be left there unheard."""
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -26,6 +26,7 @@
 # Added to the token when the worker has seen a higher one, from a sidecar
 # whose clock was ahead.
 _TOKEN_STEP = 60_000
+_FOREVER_MS = 2**62
 # Runs that ended so recently may still be listed by an older answer.
 _RECENT_MS = 3_000
 _STOP_RETRY_MS = 40
@@ -45,6 +46,8 @@
         pace: How fast the worker is.
         worker: The worker's newest heartbeat, or None.
         draining: Whether nothing new may start.
+        on_change: Called when the worker or its readiness has changed.
+        lease_of: Returns the end of an entry's lease.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         self.worker: hosting.Registration | None = None
         self.draining = False
         self.on_change: Callable[[], None] = lambda: None
+        self.lease_of: Callable[[str], int] = lambda owner: _FOREVER_MS
         # Above that of any earlier sidecar here, unless the time of day went
         # back; then the worker says so.
         self._token = int(system_time.time() * 1_000)
@@ -131,7 +135,9 @@
             self._refuse(run, work.Outcome.REFUSED_BUSY)
         elif not self.accepts:
             self._refuse(run, work.Outcome.REFUSED_LEAVING)
-        elif run.received_ms > order.start_by_ms:
+        elif not self._is_meant(order):
+            self._refuse(run, work.Outcome.REFUSED_BY_WORKER)
+        elif self._is_void(run):
             self._refuse(run, work.Outcome.REFUSED_LATE)
         else:
             self.runs.add(run)
@@ -191,6 +197,24 @@
             if not await self._hold(_WAIT_FOR_END_MS):
                 await asyncio.sleep(_STOP_RETRY_MS / 1_000)
 
+    def _is_meant(self, order: runmessages.StartRun) -> bool:
+        worker = self.worker
+        return worker is not None and _life(worker) == (
+            order.worker,
+            order.incarnation,
+        )
+
+    def _is_void(self, run: ledger.Run) -> bool:
+        """Returns whether a run must not start any more.
+
+        Past its entry's lease the entry may have sent the task elsewhere; a
+        sidecar that was suspended may still have its order to read.
+        """
+        now_ms = self._clock.now_ms()
+        return now_ms > run.order.start_by_ms or now_ms > self.lease_of(
+            run.owner
+        )
+
     def _is_idle(self) -> bool:
         if self.worker is None:
             return True
@@ -202,8 +226,7 @@
 
     async def _order_start(self, run: ledger.Run) -> None:
         worker = self.worker
-        now_ms = self._clock.now_ms()
-        if worker is None or now_ms > run.order.start_by_ms:
+        if worker is None or self._is_void(run):
             self.runs.put_back(run)
             self._refuse(run, work.Outcome.REFUSED_LATE)
             return
--- a/packages/daemon/src/sardinerouted/worker/stations.py
+++ b/packages/daemon/src/sardinerouted/worker/stations.py
@@ -71,6 +71,7 @@
         self._clock = time
         self.executor = executor.Executor(time, client, self._report)
         self.executor.on_change = self._tell_worker
+        self.executor.lease_of = self._lease_of
         self._meter = load.Meter(time, self.executor.runs, self.executor.pace)
         self._stations_by_owner: dict[str, _Station] = {}
         self._dialers_by_address: dict[Address, asyncio.Task[None]] = {}
@@ -127,6 +128,10 @@
                     self._tell(station)
             await asyncio.sleep(pause_ms / 1_000)
 
+    def _lease_of(self, owner: str) -> int:
+        station = self._stations_by_owner.get(owner)
+        return station.lease_ms if station else 0
+
     def _check(self, owner: str, station: _Station, now_ms: int) -> None:
         runs = self.executor.runs.of(owner)
         connection = station.connection
--- a/tests/fakeworker.py
+++ b/tests/fakeworker.py
@@ -44,6 +44,7 @@
         self._lock = threading.Lock()
 
     def clock_ms(self) -> int:
+        """Returns the clock of the worker."""
         return int(time.monotonic() * 1_000) - 5_000
 
     def start(
@@ -54,6 +55,7 @@
         lease_until_ms: int,
         token: int,
     ) -> tuple[hosting.StartReply, int | None]:
+        """Starts a run, or misbehaves as it was told."""
         with self._lock:
             self._advance()
             if token < self.highest_token:
@@ -78,6 +80,7 @@
             return [self._begin(run, until) for run, until in lost]
 
     def stop(self, worker: str, run: hosting.RunRef, token: int) -> None:
+        """Ends a run, or misbehaves as it was told."""
         with self._lock:
             if self.mute_stops:
                 self.mute_stops -= 1
@@ -96,6 +99,7 @@
         acknowledged: int,
         wait_ms: int,
     ) -> hosting.Holdings:
+        """Renews the lease and returns runs and ends."""
         until_s = time.monotonic() + wait_ms / 1_000
         while True:
             with self._lock:
@@ -161,6 +165,8 @@
 def order(job: str, now_ms: int, **changes: object) -> runmessages.StartRun:
     """Returns a start of one core for the first task of a job."""
     plain = runmessages.StartRun(
+        worker="w-1",
+        incarnation=7,
         job=job,
         step=0,
         index=0,
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 import fakeworker
-
 from sardineroute_core import clock
 from sardineroute_core import errors
 from sardineroute_core import messages
@@ -46,6 +45,7 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
+        """Listens for sidecars."""
         async def handle(connection: streams.Connection) -> None:
             self.connections.append(connection)
             await self.desk.fleet.serve(connection)
@@ -62,6 +62,7 @@
             task.cancel()
 
     async def stop(self) -> None:
+        """Ends the entry and its streams."""
         self.freeze()
         if self._server is not None:
             self._server.close()
@@ -98,6 +99,7 @@
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, entries: int) -> None:
+        """Starts entries, then a sidecar for each worker."""
         for number in range(entries):
             entry = Entry(number)
             await entry.start()
@@ -112,6 +114,7 @@
             )
 
     def add_sidecar(self, number: int, life: int = 0) -> stations.Stations:
+        """Starts a sidecar beside a worker."""
         worker = self.workers[number]
         options = settings.HostedSidecar.model_validate(
             {
@@ -144,15 +147,18 @@
         return sidecar
 
     async def until(self, holds: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
         end_s = time.monotonic() + 5.0
         while not holds():
             assert time.monotonic() < end_s
             await asyncio.sleep(0.005)
 
     def running(self) -> int:
+        """Returns the number of runs at all workers."""
         return sum(len(worker.running) for worker in self.workers)
 
     def starts(self) -> list[str]:
+        """Returns job and index of all starts so far."""
         return [
             f"{ref.task.job}/{ref.task.index}"
             for worker in self.workers
@@ -160,6 +166,7 @@
         ]
 
     async def stop(self) -> None:
+        """Ends everything."""
         for task in self._tasks:
             task.cancel()
         for entry in self.entries:
--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -33,6 +33,7 @@
         self.address = ""
 
     def append(self, topic: str, key: str, value: bytes) -> None:
+        """Appends a record."""
         self.partitions.setdefault(topic, []).append((key, value))
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -3,11 +3,11 @@
 import json
 from typing import Any
 
-import platformserver
 import pytest
 from hypothesis import given
 from hypothesis import strategies
 
+import platformserver
 from sardineroute_core import errors
 from sardineroute_core import hosting
 from sardineroute_core import work
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -7,7 +7,6 @@
 
 import fakeworker
 import hostedrig
-
 from sardineroute_core import hosting
 from sardineroute_core import work
 from sardinerouted.dispatching import desk as desks
@@ -215,3 +214,29 @@
 
 def test_ended_jobs_are_remembered_for_a_bounded_time() -> None:
     assert desks._REMEMBERED_MS >= RESEND_MS
+
+
+def test_retry_is_not_sent_for_a_caller_that_has_left() -> None:
+    async def main() -> None:
+        worker = fakeworker.FakeWorker(run_ms=5_000)
+        async with hostedrig.fleet(1, [worker]) as rig:
+            desk = rig.entries[0].desk
+            ours, theirs = socket.socketpair()
+            request = work.Request(
+                "job", "{}", (work.Step(1, work.Size(1_000), 5_000),), 9_000
+            )
+            running = asyncio.create_task(
+                desk.run(request, hostedrig.QUEUE, ours)
+            )
+            await rig.until(lambda: rig.running() == 1)
+            job = desk._jobs_by_id["job"]
+            (task,) = job.tasks_by_id.values()
+            # The end of the run is read before the caller's close.
+            theirs.close()
+            desk._take_end(task, work.Outcome.LAPSED, 0, desk.fleet.known()[0])
+            assert job.is_over
+            await asyncio.gather(running, return_exceptions=True)
+            assert len(worker.starts) == 1
+            ours.close()
+
+    asyncio.run(main())
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -5,9 +5,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-import fakeworker
 import pytest
 
+import fakeworker
 from sardineroute_core import clock
 from sardineroute_core import hosting
 from sardineroute_core import work
@@ -27,16 +27,19 @@
         self.executor = executor.Executor(self.clock, worker, self._report)
 
     def take(self, job: str, **changes: object) -> None:
+        """Orders a run of a job at the executor."""
         now_ms = self.clock.now_ms()
         self.executor.take(fakeworker.order(job, now_ms, **changes), "entry-1")
 
     async def until(self, holds: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
         end_s = time.monotonic() + 5.0
         while not holds():
             assert time.monotonic() < end_s, self.ends
             await asyncio.sleep(0.005)
 
     def outcomes(self) -> dict[str, work.Outcome]:
+        """Returns how the run of each job has ended."""
         return {job: outcome for job, _, outcome in self.ends}
 
     def _report(
@@ -213,7 +216,9 @@
         rig.worker.incarnation += 1
         rig.executor.register(fakeworker.registration(rig.worker))
         assert rig.outcomes() == {"job-1": work.Outcome.LAPSED}
-        rig.take("job-2")
+        rig.take("meant-for-the-old")
+        assert rig.outcomes()["meant-for-the-old"].never_started
+        rig.take("job-2", incarnation=rig.worker.incarnation)
         await rig.until(lambda: bool(rig.worker.running))
 
     run(test, worker)
@@ -261,3 +266,30 @@
         assert len(rig.worker.starts) == 1
 
     run(test, worker)
+
+
+def test_order_past_its_entry_s_lease_starts_nothing() -> None:
+    worker = fakeworker.FakeWorker()
+
+    async def test(rig: Rig) -> None:
+        rig.executor.lease_of = lambda owner: rig.clock.now_ms() - 1
+        rig.take("job-1")
+        assert rig.outcomes() == {"job-1": work.Outcome.REFUSED_LATE}
+        assert not rig.worker.starts
+
+    run(test, worker)
+
+
+def test_waiting_run_does_not_start_past_its_entry_s_lease() -> None:
+    worker = fakeworker.FakeWorker(run_ms=200)
+
+    async def test(rig: Rig) -> None:
+        rig.take("big", cpu_millicores=4_000)
+        await rig.until(lambda: bool(rig.worker.running))
+        rig.take("next")
+        rig.executor.lease_of = lambda owner: rig.clock.now_ms() - 1
+        await rig.until(lambda: len(rig.ends) == 2)
+        assert rig.outcomes()["next"].never_started
+        assert len(rig.worker.starts) == 1
+
+    run(test, worker)
