--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -233,6 +233,8 @@
         task.placed_ms = now_ms
         task.expected_ms = now_ms + choice.end_in_ms
         job.may_have_run = True
+        job.placed_at.add(sidecar.id)
+        job.load_age_ms = max(job.load_age_ms, sidecar.report_age_ms)
         size = task.step.size
         sidecar.send_start(
             task,
@@ -441,6 +443,8 @@
                 if task.phase is jobs.Phase.DONE
             ),
             retries=sum(task.retries for task in job.tasks_by_id.values()),
+            placed_at=sorted(job.placed_at),
+            load_age_ms=job.load_age_ms,
             workers=self.fleet.usable_count(),
             expected_ms=expected_ms,
             configuration=table.version if table else 0,
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -85,6 +85,8 @@
         deadline_ms: When its caller stops waiting.
         objective_ms: When it is late.
         callers: Connections of the callers that wait for it.
+        placed_at: Sidecars that its tasks were sent to, for the log.
+        load_age_ms: Age of the oldest load report that placed a task.
         ended: Completes when the job is over.
     """
 
@@ -113,6 +115,8 @@
         self.objective_ms = now_ms + int(
             queue.objective_ms(_longest_chain_ms(request.steps, estimates_ms))
         )
+        self.placed_at: set[str] = set()
+        self.load_age_ms = 0
         self.callers: list[socket.socket | None] = []
         self.ended: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -71,6 +71,11 @@
             and self.worker.ready
         )
 
+    @property
+    def report_age_ms(self) -> int:
+        """Returns how old the last report of its load is."""
+        return self._clock.now_ms() - self._reported_ms
+
     @property
     def worker_id(self) -> str:
         """Returns the id of its worker."""
@@ -130,9 +135,8 @@
         load = self._load
         if load is None:
             return float("inf")
-        waited_ms = self._clock.now_ms() - self._reported_ms
         ahead = len(self._unreported) * load.run_interval_ms
-        return max(1.0, load.room_in_ms - waited_ms) + ahead
+        return max(1.0, load.room_in_ms - self.report_age_ms) + ahead
 
     def run_ms(self, estimate_ms: float) -> float:
         """Returns the expected run time of a task."""
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -22,6 +22,7 @@
 from sardinerouted import supervision
 from sardinerouted.dispatching import desk as desks
 from sardinerouted.hosted import discovery
+from sardinerouted.hosted import fleetview
 from sardinerouted.hosted import peers as entry_peers
 from sardinerouted.hosted import reload
 from sardinerouted.hosted import table_source
@@ -87,7 +88,7 @@
             and desk.fleet.usable_count() > 0
         )
 
-    _serve_http(options, adapter, desk, is_ready)
+    _serve_http(options, adapter, desk, identity, is_ready)
     _log.info("Serving.", id=options.id, incarnation=identity.incarnation)
     await signals.first_set(stopping, supervisor.failed)
     if supervisor.failed.is_set():
@@ -102,12 +103,18 @@
     options: settings.HostedEntry,
     adapter: hosting.Adapter,
     desk: desks.Desk,
+    identity: streams.Identity,
     is_ready: web_app.IsReady,
 ) -> None:
     handover = exchanges.Handover(asyncio.get_running_loop())
     callers = adapter.callers(desk, handover)
     readiness = adapter.readiness(is_ready)
-    metrics = routes.Table(health.table(is_ready))
+    metrics = routes.Table(
+        [
+            *health.table(is_ready),
+            *fleetview.table(desk, identity, options.failure_domain),
+        ]
+    )
     httpd.start_all(
         [
             (
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/hosted/fleetview.py
@@ -0,0 +1,84 @@
+"""Shows operators the fleet as a hosted entry sees it."""
+
+import dataclasses
+
+from sardineroute_core import messages
+from sardineroute_core import streams
+from sardinerouted.dispatching import desk as desks
+from sardinerouted.dispatching import sidecars
+from sardinerouted.web import requests
+from sardinerouted.web import responses
+from sardinerouted.web import routes
+
+_UNKNOWN = -1
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """A process, in the form that the command line reads."""
+
+    id: str
+    role: str
+    failure_domain: str
+    state: str
+    configuration_version: int
+    busy: int
+    slots: int
+    kinds: tuple[str, ...]
+
+
+def table(
+    desk: desks.Desk, identity: streams.Identity, failure_domain: str
+) -> list[routes.Route]:
+    """Returns the routes that show the fleet."""
+
+    def show(_: requests.Request) -> responses.Response:
+        members = [_entry(desk, identity, failure_domain)]
+        members += [_sidecar(sidecar) for sidecar in desk.fleet.known()]
+        return responses.json_response(
+            {"members": [dataclasses.asdict(member) for member in members]}
+        )
+
+    return [routes.Route("GET", "/v1/fleet", show)]
+
+
+def _entry(
+    desk: desks.Desk, identity: streams.Identity, failure_domain: str
+) -> Member:
+    routing_table = desk.routing_table
+    return Member(
+        id=identity.id,
+        role=messages.Role.ENTRY.value,
+        failure_domain=failure_domain,
+        state="connected" if routing_table else "without configuration",
+        configuration_version=(
+            routing_table.version if routing_table else _UNKNOWN
+        ),
+        busy=desk.in_flight(),
+        slots=_UNKNOWN,
+        kinds=(),
+    )
+
+
+def _sidecar(sidecar: sidecars.Sidecar) -> Member:
+    worker = sidecar.worker
+    return Member(
+        id=sidecar.id,
+        role=messages.Role.SIDECAR.value,
+        failure_domain=worker.failure_domain if worker else "",
+        state=_state(sidecar),
+        configuration_version=_UNKNOWN,
+        busy=len(sidecar.tasks_by_id),
+        slots=_UNKNOWN,
+        kinds=(worker.service,) if worker else (),
+    )
+
+
+def _state(sidecar: sidecars.Sidecar) -> str:
+    if sidecar.connection is None:
+        return "unreachable"
+    if sidecar.worker is None or not sidecar.worker.id:
+        return "without worker"
+    if not sidecar.worker.ready:
+        return "leaving"
+    return "in trouble" if sidecar.trouble else "connected"
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -46,6 +46,7 @@
 
     async def start(self) -> None:
         """Listens for sidecars."""
+
         async def handle(connection: streams.Connection) -> None:
             self.connections.append(connection)
             await self.desk.fleet.serve(connection)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -103,11 +103,18 @@
     return str(field.default)
 
 
-def test_settings_page_has_each_key_and_its_default() -> None:
-    documented = {row[0]: row[1] for row in _rows("settings.md", 3)}
+@pytest.mark.parametrize(
+    ("page", "models"),
+    [
+        ("settings.md", (settings.Entry, settings.Sidecar)),
+        ("hosted-settings.md", (settings.HostedEntry, settings.HostedSidecar)),
+    ],
+)
+def test_settings_page_has_each_key_and_its_default(
+    page: str, models: tuple[type[pydantic.BaseModel], ...]
+) -> None:
+    documented = {row[0]: row[1] for row in _rows(page, 3)}
     expected = {
-        key: _default(field)
-        for model in (settings.Entry, settings.Sidecar)
-        for key, field in _keys(model)
+        key: _default(field) for model in models for key, field in _keys(model)
     }
     assert documented == expected
