--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -13,9 +13,6 @@
 _SLOWNESS_MARGIN = 0.08
 # From an end at the worker to the caller: three hops and their processing.
 _OVERHEAD_MS = 15.0
-# A wait is expected from run times that are off by about a third, and grows
-# with what other entries send meanwhile.
-_WAIT_MARGIN = 0.5
 # The fastest worker is taken while it keeps this share of its room; beyond, the
 # emptiest one, so that fast workers have room for long tasks.
 _RESERVED_SHARE = 0.35
@@ -86,9 +83,7 @@
     start_in_ms = sidecar.room_in_ms(task.step.size)
     run_ms = sidecar.run_ms(task.estimate_ms)
     left_ms = task.job.objective_ms - now_ms - _OVERHEAD_MS
-    end_in_ms = start_in_ms * (1 + _WAIT_MARGIN)
-    end_in_ms += run_ms * (1 + _SLOWNESS_MARGIN)
-    on_time = end_in_ms <= left_ms
+    on_time = start_in_ms + run_ms * (1 + _SLOWNESS_MARGIN) <= left_ms
     return Choice(sidecar, start_in_ms, run_ms, on_time)
 
 
