--- a/packages/daemon/src/sardinerouted/worker/load.py
+++ b/packages/daemon/src/sardinerouted/worker/load.py
@@ -8,8 +8,9 @@
 # Size of a run where none is known to go by.
 _USUAL_MILLICORES = 1_000
 _USUAL_RUN_MS = 300
-# A run past its expected end is expected to end this soon.
-_MIN_LEFT_MS = 10.0
+# A run near or past its expected end is expected to last this share of its
+# run time longer: run times spread by a third around what is expected.
+_MIN_LEFT_SHARE = 0.25
 
 
 class Meter:
@@ -60,6 +61,11 @@
     def _run_ms(self, run: ledger.Run) -> float:
         return max(1.0, run.order.estimate_ms * self._pace.slowness)
 
+    def _left_ms(self, run: ledger.Run, now_ms: int) -> float:
+        run_ms = self._run_ms(run)
+        left_ms = run.started_ms + run_ms - now_ms
+        return max(left_ms, _MIN_LEFT_SHARE * run_ms)
+
     def _room_in_ms(
         self,
         now_ms: int,
@@ -73,7 +79,7 @@
             return 0
         ends = sorted(
             (
-                max(run.started_ms + self._run_ms(run) - now_ms, _MIN_LEFT_MS),
+                self._left_ms(run, now_ms),
                 run.size.cpu_millicores,
             )
             for run in active
