Tell every change of load, look at 24 workers at most, know racks; fewer renewals

Cause: a change of load that came within half the interval of the last report was not told until the next change, up to a second later; the report was worked out anew for each entry. A task's rack was ignored.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -284,13 +284,15 @@
     """Settings of `sardinerouted entry` on a platform.
 
     After SIGTERM it says at `readiness` that it isn't ready, and takes
-    connections for `leave_rotation_ms` until the balancer has noticed.
+    connections for `leave_rotation_ms` until the balancer has noticed. A
+    task takes `far_factor` times as long away from the rack of its data.
     """
 
     role: Literal["entry"]
     http: Http
     readiness: Address
     leave_rotation_ms: Annotated[int, pydantic.Field(ge=0)] = 2_500
+    far_factor: Annotated[float, pydantic.Field(ge=1.0)] = 1.0
 
 
 class HostedSidecar(_Hosted):
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -49,8 +49,9 @@
         routing_table: The configuration in force, or None before the first.
     """
 
-    def __init__(self, time: clock.Clock) -> None:
+    def __init__(self, time: clock.Clock, far_factor: float = 1.0) -> None:
         self._clock = time
+        self._far_factor = far_factor
         self.routing_table: routing.Table | None = None
         self.fleet = fleets.Fleet(time, self._take_end)
         self.fleet.on_cancel = self._take_cancel
@@ -207,7 +208,7 @@
         now_ms = self._clock.now_ms()
         try:
             for task in job.queued():
-                choice = placement.choose(task, self.fleet.known(), now_ms)
+                choice = self._choose(task, self.fleet.known(), now_ms)
                 if choice is None:
                     return None
                 sidecar = choice.sidecar
@@ -219,6 +220,11 @@
                 self.fleet.sidecars_by_id[sidecar_id].free = free
         return choices
 
+    def _choose(
+        self, task: jobs.Task, fleet: list[sidecars.Sidecar], now_ms: int
+    ) -> placement.Choice | None:
+        return placement.choose(task, fleet, now_ms, self._far_factor)
+
     def _place(self, task: jobs.Task, choice: placement.Choice) -> None:
         """Sends a task to a sidecar."""
         now_ms = self._clock.now_ms()
@@ -230,6 +236,7 @@
         task.number += 1
         task.phase = jobs.Phase.PLACED
         task.sidecar_id = sidecar.id
+        task.distance = choice.distance
         task.placed_ms = now_ms
         task.expected_ms = now_ms + choice.end_in_ms
         job.may_have_run = True
@@ -249,7 +256,7 @@
                 cpu_millicores=size.cpu_millicores,
                 memory_mb=size.memory_mb,
                 gpus=size.gpus,
-                estimate_ms=int(task.estimate_ms),
+                estimate_ms=int(task.estimate_ms * choice.distance),
                 rank=sidecar.to_sidecar_ms(latest_ms),
                 start_by_ms=sidecar.to_sidecar_ms(start_by_ms),
                 lease_ms=sidecar.lease_until_ms(),
@@ -268,7 +275,9 @@
         job = task.job
         if outcome is work.Outcome.DONE:
             self._estimates.learn(
-                job.queue.name, task.step.estimate_ms, run_ms / sidecar.slowness
+                job.queue.name,
+                task.step.estimate_ms,
+                run_ms / (sidecar.slowness * task.distance),
             )
         if job.is_over:
             return
@@ -321,7 +330,7 @@
         now_ms = self._clock.now_ms()
         late_ms = self._worthless_ms(job)
         for task in job.queued():
-            choice = placement.choose(task, self.fleet.known(), now_ms)
+            choice = self._choose(task, self.fleet.known(), now_ms)
             if choice is None:
                 # Looked at again until the deadline.
                 continue
@@ -367,7 +376,7 @@
             for sidecar in self.fleet.known()
             if sidecar.id != task.sidecar_id
         ]
-        choice = placement.choose(task, others, now_ms)
+        choice = self._choose(task, others, now_ms)
         if choice is None or choice.start_in_ms > 0:
             return
         if now_ms + choice.end_in_ms > task.job.deadline_ms:
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -45,6 +45,7 @@
         failures: Runs that ended as failed.
         estimate_ms: Expected run time at a worker of usual speed.
         sidecar_id: Where it was sent.
+        distance: How much longer it runs there for being far from its data.
         avoided: Sidecars where a run failed or was too slow.
         placed_ms: When it was sent.
         expected_ms: When it was expected to end.
@@ -59,6 +60,7 @@
     number: int = 0
     failures: int = 0
     sidecar_id: str = ""
+    distance: float = 1.0
     avoided: frozenset[str] = frozenset()
     placed_ms: int = 0
     expected_ms: float = 0.0
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -1,6 +1,7 @@
 """Chooses the sidecar that a task is sent to."""
 
 import dataclasses
+import random
 from collections.abc import Iterable
 
 from sardinerouted.dispatching import jobs
@@ -13,6 +14,9 @@
 _SLOWNESS_MARGIN = 0.08
 # From an end at the worker to the caller: three hops and their processing.
 _OVERHEAD_MS = 15.0
+# Most sidecars looked at for a task; the best of so many is near the best of
+# any number, and the time for a choice no longer grows with the fleet.
+_MAX_LOOKED_AT = 24
 # The fastest worker is taken while it keeps this share of its room; beyond, the
 # emptiest one, so that fast workers have room for long tasks.
 _RESERVED_SHARE = 0.35
@@ -26,12 +30,14 @@
         sidecar: The sidecar.
         start_in_ms: Expected time until it starts.
         run_ms: Expected run time.
+        distance: How much of it comes from being far from the task's data.
         on_time: Whether the job should meet its objective there.
     """
 
     sidecar: sidecars.Sidecar
     start_in_ms: float
     run_ms: float
+    distance: float
     on_time: bool
 
     @property
@@ -55,7 +61,10 @@
 
 
 def choose(
-    task: jobs.Task, fleet: Iterable[sidecars.Sidecar], now_ms: int
+    task: jobs.Task,
+    fleet: Iterable[sidecars.Sidecar],
+    now_ms: int,
+    far_factor: float,
 ) -> Choice | None:
     """Returns where a task is best sent, or None where none can run it.
 
@@ -68,9 +77,10 @@
         for sidecar in able
         if sidecar.trouble < _TROUBLE_LIMIT and sidecar.id not in task.avoided
     ]
-    choices = [_choice(task, sidecar, now_ms) for sidecar in sound or able]
-    if not choices:
+    if not able:
         return None
+    drawn = _draw(task, sound or able)
+    choices = [_choice(task, one, now_ms, far_factor) for one in drawn]
     free = [choice for choice in choices if choice.start_in_ms == 0]
     timely = [choice for choice in free if choice.on_time]
     if timely:
@@ -79,12 +89,30 @@
     return min(waiting or free or choices, key=lambda c: c.end_in_ms)
 
 
-def _choice(task: jobs.Task, sidecar: sidecars.Sidecar, now_ms: int) -> Choice:
+def _draw(
+    task: jobs.Task, able: list[sidecars.Sidecar]
+) -> list[sidecars.Sidecar]:
+    """Returns some of many sidecars, with those near the task's data."""
+    if len(able) <= _MAX_LOOKED_AT:
+        return able
+    drawn = random.sample(able, _MAX_LOOKED_AT)
+    rack = task.step.data_rack
+    if rack:
+        drawn += [
+            one for one in able if one.worker and rack in one.worker.labels
+        ]
+    return drawn
+
+
+def _choice(
+    task: jobs.Task, sidecar: sidecars.Sidecar, now_ms: int, far_factor: float
+) -> Choice:
     start_in_ms = sidecar.room_in_ms(task.step.size)
-    run_ms = sidecar.run_ms(task.estimate_ms)
+    distance = sidecar.distance(task.step.data_rack, far_factor)
+    run_ms = sidecar.run_ms(task.estimate_ms) * distance
     left_ms = task.job.objective_ms - now_ms - _OVERHEAD_MS
     on_time = start_in_ms + run_ms * (1 + _SLOWNESS_MARGIN) <= left_ms
-    return Choice(sidecar, start_in_ms, run_ms, on_time)
+    return Choice(sidecar, start_in_ms, run_ms, distance, on_time)
 
 
 def _spare_fast(timely: list[Choice]) -> Choice:
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -139,9 +139,15 @@
         return max(1.0, load.room_in_ms - self.report_age_ms) + ahead
 
     def run_ms(self, estimate_ms: float) -> float:
-        """Returns the expected run time of a task."""
+        """Returns the expected run time of a task near its data."""
         return max(1.0, estimate_ms * self.slowness)
 
+    def distance(self, rack: str, far_factor: float) -> float:
+        """Returns how much longer a task with data in a rack runs here."""
+        if not rack or self.worker is None or rack in self.worker.labels:
+            return 1.0
+        return far_factor
+
     def to_sidecar_ms(self, time_ms: int) -> int:
         """Returns a time of ours in the sidecar's clock, never too late."""
         known = [
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -53,7 +53,7 @@
     signals.install(stopping)
     supervisor = supervision.Supervisor()
     supervisor.watch_loop()
-    desk = desks.Desk(time)
+    desk = desks.Desk(time, options.far_factor)
     store = adapter.record_store(options.store)
     own = (options.streams.listen.hostname, options.streams.listen.port)
     peers = entry_peers.Peers(own, options, identity, time, desk.fleet)
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -20,6 +20,8 @@
 RUN_LEASE_MS = 450
 # Several renewals fit into a lease, each with time for an answer.
 _RENEW_MS = 130
+# Renewals don't follow each other faster, so that a slow answer costs little.
+_MIN_RENEW_MS = 20
 _WAIT_FOR_END_MS = 400
 _ORDER_THREADS = 8
 _HOLD_THREADS = 2
@@ -179,9 +181,14 @@
                 self._wanted.clear()
                 if self._is_idle():
                     await self._wanted.wait()
-            answered = await self._hold(0)
-            self._wanted.clear()
-            wait_ms = _RENEW_MS if answered else _STOP_RETRY_MS
+            answered = True
+            if self._wanted.is_set() or self._renewed_ago_ms() >= _RENEW_MS:
+                self._wanted.clear()
+                answered = await self._hold(0)
+            wait_ms = _STOP_RETRY_MS
+            if answered:
+                left_ms = _RENEW_MS - self._renewed_ago_ms()
+                wait_ms = max(left_ms, _MIN_RENEW_MS)
             try:
                 async with asyncio.timeout(wait_ms / 1_000):
                     await self._wanted.wait()
@@ -197,6 +204,9 @@
             if not await self._hold(_WAIT_FOR_END_MS):
                 await asyncio.sleep(_STOP_RETRY_MS / 1_000)
 
+    def _renewed_ago_ms(self) -> int:
+        return self._clock.now_ms() - self._newest_list_ms
+
     def _is_meant(self, order: runmessages.StartRun) -> bool:
         worker = self.worker
         return worker is not None and _life(worker) == (
--- a/packages/daemon/src/sardinerouted/worker/load.py
+++ b/packages/daemon/src/sardinerouted/worker/load.py
@@ -23,12 +23,8 @@
         self._runs = runs
         self._pace = speed
 
-    def report(self, taken: int) -> runmessages.Load:
-        """Returns the load now.
-
-        Args:
-            taken: Starts that have come on the stream that gets the report.
-        """
+    def report(self) -> runmessages.Load:
+        """Returns the load now, without the starts that a stream has taken."""
         now_ms = self._clock.now_ms()
         active = self._runs.active()
         waiting = self._runs.waiting()
@@ -46,7 +42,7 @@
         interval_ms = usual_run_ms / slots
         return runmessages.Load(
             tick_ms=now_ms,
-            taken=taken,
+            taken=0,
             free_cpu_millicores=free.cpu_millicores,
             free_memory_mb=free.memory_mb,
             free_gpus=free.gpus,
@@ -63,6 +59,8 @@
 
     def _left_ms(self, run: ledger.Run, now_ms: int) -> float:
         run_ms = self._run_ms(run)
+        if not run.confirmed:
+            return run_ms
         left_ms = run.started_ms + run_ms - now_ms
         return max(left_ms, _MIN_LEFT_SHARE * run_ms)
 
@@ -83,7 +81,6 @@
                 run.size.cpu_millicores,
             )
             for run in active
-            if run.confirmed
         )
         for end_ms, cpu in ends:
             free_cpu += cpu
--- a/packages/daemon/src/sardinerouted/worker/stations.py
+++ b/packages/daemon/src/sardinerouted/worker/stations.py
@@ -25,7 +25,9 @@
 _CHECK_MS = 50
 # Load is told to entries that didn't cause a change at most so often for
 # each of them, so that the messages don't grow with their square.
-_LOAD_MS_PER_ENTRY = 8
+_LOAD_MS_PER_ENTRY = 12
+# A renewal is answered with the load unless that was told so lately.
+_ANSWER_MS = 100
 _REDIAL_MIN_MS = 50
 _REDIAL_MAX_MS = 2_000
 # An address that nobody has answered at for so long is forgotten; seeds stay.
@@ -122,10 +124,9 @@
             self._changed.clear()
             stations = list(self._stations_by_owner.values())
             pause_ms = _LOAD_MS_PER_ENTRY * max(1, len(stations))
-            now_ms = self._clock.now_ms()
+            report = self._meter.report()
             for station in stations:
-                if now_ms - station.told_ms >= pause_ms // 2:
-                    self._tell(station)
+                self._tell(station, report)
             await asyncio.sleep(pause_ms / 1_000)
 
     def _lease_of(self, owner: str) -> int:
@@ -263,7 +264,8 @@
             self._changed.set()
         elif isinstance(message, runmessages.Renew):
             station.lease_ms = max(station.lease_ms, message.lease_ms)
-            if self.executor.runs.of(owner):
+            told_ago_ms = self._clock.now_ms() - station.told_ms
+            if told_ago_ms >= _ANSWER_MS and self.executor.runs.of(owner):
                 self._tell(station)
         elif isinstance(message, runmessages.StopRuns):
             self._stop(owner, message)
@@ -339,8 +341,13 @@
                 station.connection.send(message)
                 self._tell(station)
 
-    def _tell(self, station: _Station) -> None:
+    def _tell(
+        self, station: _Station, report: runmessages.Load | None = None
+    ) -> None:
         if station.connection is None:
             return
-        station.told_ms = self._clock.now_ms()
-        station.connection.send(self._meter.report(station.taken))
+        load_now = report or self._meter.report()
+        station.told_ms = load_now.tick_ms
+        station.connection.send(
+            dataclasses.replace(load_now, taken=station.taken)
+        )
