Split what grew: calls to the worker, dialing, callers, remembered jobs, stragglers

No change of behaviour. The test of a frozen entry let its entry go on sending, so that runs that had been stopped were sent again; it failed once in two runs. The entry of that test now sends nothing, as a frozen process does.

--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -101,6 +101,17 @@
     draining: bool
     clock_ms: int | None
 
+    @property
+    def life(self) -> tuple[str, int]:
+        """Returns what tells this life of the worker from any other."""
+        return self.id, self.incarnation
+
+    def precedes(self, other: "Registration") -> bool:
+        """Returns whether it was sent before another one."""
+        if self.incarnation != other.incarnation:
+            return self.incarnation < other.incarnation
+        return self.id == other.id and self.sequence < other.sequence
+
 
 class WorkerClient(Protocol):
     """Orders to the worker beside a sidecar; calls block.
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -1,7 +1,6 @@
 """Runs the jobs of callers that wait at this entry."""
 
 import asyncio
-import collections
 import socket
 
 from sardineroute_core import clock
@@ -11,23 +10,21 @@
 from sardineroute_core import runmessages
 from sardineroute_core import traces
 from sardineroute_core import work
+from sardinerouted.dispatching import callers
 from sardinerouted.dispatching import estimates
 from sardinerouted.dispatching import fleet as fleets
+from sardinerouted.dispatching import joblog
 from sardinerouted.dispatching import jobmetrics
 from sardinerouted.dispatching import jobs
 from sardinerouted.dispatching import placement
+from sardinerouted.dispatching import remembered
 from sardinerouted.dispatching import sidecars
+from sardinerouted.dispatching import stragglers
 
-# A job that ended so recently answers the same request sent again.
-_REMEMBERED_MS = 8_000
-_MAX_REMEMBERED = 2_000
 # Past its objective a job is still worth finishing up to three times it.
 _LATE_RATIO = 3.0
 # A start that has waited for so much longer than expected comes back.
 _START_SLACK_MS = 120
-# A task past its expected end by this ratio is tried elsewhere.
-_STRAGGLER_RATIO = 3.0
-_STRAGGLER_MIN_MS = 500
 _CHECK_MS = 50
 # A pause of the process that callers and sidecars may have noticed.
 _STALL_MS = 300
@@ -57,9 +54,7 @@
         self.fleet.on_cancel = self._take_cancel
         self._estimates = estimates.Estimates()
         self._jobs_by_id: dict[str, jobs.Job] = {}
-        self._ended_by_id: collections.OrderedDict[
-            str, tuple[int, jobs.State]
-        ] = collections.OrderedDict()
+        self._remembered = remembered.Remembered(time)
 
     def pending_count(self, queue: routing.Queue) -> int:
         """Returns the jobs of a queue of which no task was sent yet."""
@@ -77,8 +72,8 @@
         """Returns the state of a job that is known here."""
         if job_id in self._jobs_by_id:
             return jobs.State.RUNNING.value
-        known = self._ended_by_id.get(job_id)
-        return known[1].value if known else None
+        known = self._remembered.find(job_id)
+        return known.value if known else None
 
     async def cancel(self, job_id: str) -> None:
         """Ends a job, also one at another entry."""
@@ -96,10 +91,10 @@
         Raises:
             errors.Error: It was refused, given up or cancelled.
         """
-        remembered = self._ended_by_id.get(request.id)
+        known = self._remembered.find(request.id)
+        if known is not None:
+            return known.value
         now_ms = self._clock.now_ms()
-        if remembered and now_ms - remembered[0] < _REMEMBERED_MS:
-            return remembered[1].value
         job = self._jobs_by_id.get(request.id)
         if job is None:
             job = self._new_job(request, queue, now_ms)
@@ -142,22 +137,13 @@
     async def _await_end(
         self, job: jobs.Job, caller: socket.socket | None
     ) -> None:
-        loop = asyncio.get_running_loop()
-        gone: asyncio.Future[None] = loop.create_future()
-        descriptor = -1
-        if caller is not None and caller.fileno() >= 0:
-            descriptor = caller.fileno()
-            loop.add_reader(descriptor, _watch_caller, loop, caller, gone)
         left_ms = max(0, job.deadline_ms - self._clock.now_ms())
-        try:
+        with callers.watched(caller) as gone:
             await asyncio.wait(
                 [job.ended, gone],
                 timeout=left_ms / 1_000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-        finally:
-            if descriptor >= 0:
-                loop.remove_reader(descriptor)
         if not job.is_over and not gone.done():
             self._give_up(job, "the deadline has passed")
 
@@ -323,7 +309,7 @@
         """Places the queued tasks of a job, or gives it up."""
         if job.is_over:
             return
-        if all(_has_left(caller) for caller in job.callers):
+        if all(callers.has_left(caller) for caller in job.callers):
             # Its caller may send it again to another entry.
             self._give_up(job, "the caller has left")
             return
@@ -353,7 +339,10 @@
                     self.fleet.forget(task)
                     task.phase = jobs.Phase.QUEUED
             elif task.phase is jobs.Phase.PLACED:
-                self._check_straggler(task, now_ms)
+                known = self.fleet.known()
+                if stragglers.is_stuck(task, known, now_ms, self._choose):
+                    task.avoided |= {task.sidecar_id}
+                    self.fleet.stop([task])
         if not job.queued():
             return
         if job.may_have_run:
@@ -364,34 +353,6 @@
         if not job.may_have_run and now_ms - job.received_ms > patience_ms:
             self._give_up(job, "no worker can run it")
 
-    def _check_straggler(self, task: jobs.Task, now_ms: int) -> None:
-        expected_ms = task.expected_ms - task.placed_ms
-        limit_ms = max(_STRAGGLER_RATIO * expected_ms, _STRAGGLER_MIN_MS)
-        if now_ms - task.placed_ms <= limit_ms:
-            return
-        if task.sidecar_id in task.avoided:
-            return
-        others = [
-            sidecar
-            for sidecar in self.fleet.known()
-            if sidecar.id != task.sidecar_id
-        ]
-        choice = self._choose(task, others, now_ms)
-        if choice is None or choice.start_in_ms > 0:
-            return
-        if now_ms + choice.end_in_ms > task.job.deadline_ms:
-            return
-        _log.info(
-            "A task takes far too long; it is stopped and tried elsewhere.",
-            job=task.id.job,
-            index=task.id.index,
-            sidecar=task.sidecar_id,
-            expected_ms=int(expected_ms),
-            elapsed_ms=now_ms - task.placed_ms,
-        )
-        task.avoided |= {task.sidecar_id}
-        self.fleet.stop([task])
-
     def _take_cancel(self, job_id: str) -> None:
         job = self._jobs_by_id.get(job_id)
         if job is None:
@@ -430,72 +391,19 @@
                 if task.phase in (jobs.Phase.PLACED, jobs.Phase.LOST)
             ]
         )
-        now_ms = self._clock.now_ms()
         if error is None:
-            self._remember(job.request.id, now_ms, state)
-        outcome = error.kind.value if error else state.value
-        jobmetrics.ended(outcome, now_ms - job.received_ms)
+            self._remembered.add(job.request.id, state)
         table = self.routing_table
-        _log.info(
-            "A job has ended.",
-            job=job.request.id,
-            queue=job.queue.name,
-            outcome=outcome,
-            why=error.detail if error else "",
-            took_ms=now_ms - job.received_ms,
-            objective_ms=job.objective_ms - job.received_ms,
-            wait_ms=job.deadline_ms - job.received_ms,
-            tasks=len(job.tasks_by_id),
-            done=sum(
-                1
-                for task in job.tasks_by_id.values()
-                if task.phase is jobs.Phase.DONE
-            ),
-            retries=sum(task.retries for task in job.tasks_by_id.values()),
-            placed_at=sorted(job.placed_at),
-            load_age_ms=job.load_age_ms,
-            workers=self.fleet.usable_count(),
-            expected_ms=expected_ms,
-            configuration=table.version if table else 0,
+        joblog.ended(
+            job,
+            self._clock.now_ms(),
+            self.fleet.usable_count(),
+            table.version if table else 0,
+            expected_ms,
         )
 
-    def _remember(self, job_id: str, now_ms: int, state: jobs.State) -> None:
-        self._ended_by_id[job_id] = (now_ms, state)
-        while self._ended_by_id:
-            oldest_ms, _ = next(iter(self._ended_by_id.values()))
-            if (
-                len(self._ended_by_id) <= _MAX_REMEMBERED
-                and now_ms - oldest_ms < _REMEMBERED_MS
-            ):
-                return
-            self._ended_by_id.popitem(last=False)
-
 
 def _refusal(why: str) -> errors.Error:
     return errors.Error(
         errors.Kind.OVERLOADED, why, errors.Ran.NO, _RETRY_AFTER_MS
     )
-
-
-def _watch_caller(
-    loop: asyncio.AbstractEventLoop,
-    caller: socket.socket,
-    gone: asyncio.Future[None],
-) -> None:
-    """Completes `gone` when a waiting caller closes its connection."""
-    # Bytes of a next request say nothing of this one.
-    loop.remove_reader(caller.fileno())
-    if _has_left(caller) and not gone.done():
-        gone.set_result(None)
-
-
-def _has_left(caller: socket.socket | None) -> bool:
-    """Returns whether a caller has closed its connection."""
-    if caller is None:
-        return False
-    try:
-        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
--- a/packages/daemon/src/sardinerouted/hosted/discovery.py
+++ b/packages/daemon/src/sardinerouted/hosted/discovery.py
@@ -6,6 +6,7 @@
 
 from sardineroute_core import hosting
 from sardineroute_core import logs
+from sardinerouted import dialing
 
 # A store that refuses or doesn't answer is asked again after so long; each
 # call is priced, refused ones too.
@@ -14,10 +15,10 @@
 
 _log = logs.part("discovery")
 
-Address = tuple[str, int]
 
-
-async def announce(store: hosting.RecordStore, address: Address) -> None:
+async def announce(
+    store: hosting.RecordStore, address: dialing.Address
+) -> None:
     """Announces an entry at an address, through outages of the store."""
     key = f"{address[0]}:{address[1]}"
     value = json.dumps({"host": address[0], "port": address[1]}).encode()
@@ -34,7 +35,7 @@
 
 
 async def read(
-    store: hosting.RecordStore, learn: Callable[[list[Address]], None]
+    store: hosting.RecordStore, learn: Callable[[list[dialing.Address]], None]
 ) -> None:
     """Hands over the announced addresses once, through outages."""
     while True:
@@ -50,7 +51,7 @@
             return
 
 
-def decode(batch: hosting.Batch) -> list[Address]:
+def decode(batch: hosting.Batch) -> list[dialing.Address]:
     """Returns the addresses of a batch; unreadable records are left out."""
     addresses = []
     for record in batch.records:
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -16,6 +16,7 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardineroute_core import traces
+from sardinerouted import dialing
 from sardinerouted import httpd
 from sardinerouted import shutdown
 from sardinerouted import signals
@@ -147,7 +148,7 @@
 
 async def _discover(
     store: hosting.RecordStore,
-    own: discovery.Address,
+    own: dialing.Address,
     peers: entry_peers.Peers,
 ) -> None:
     """Announces this entry, and reads of others until canceled."""
--- a/packages/daemon/src/sardinerouted/hosted/peers.py
+++ b/packages/daemon/src/sardinerouted/hosted/peers.py
@@ -9,13 +9,10 @@
 from sardineroute_core import runmessages
 from sardineroute_core import settings
 from sardineroute_core import streams
+from sardinerouted import dialing
 from sardinerouted.dispatching import fleet as fleets
 from sardinerouted.hosted import table_source
 
-_REDIAL_MIN_MS = 100
-_REDIAL_MAX_MS = 2_000
-_FORGET_MS = 60_000
-_MAX_ENTRIES = 256
 # Each way in this time, so that a silent stream shows, and a version that
 # was missed is told again.
 _HEARTBEAT_MS = 1_000
@@ -25,48 +22,34 @@
 
 _log = logs.part("peers")
 
-Address = tuple[str, int]
-
 
 class Peers:
     """The other entries that this one knows."""
 
     def __init__(
         self,
-        own: Address,
+        own: dialing.Address,
         options: settings.HostedEntry,
         identity: streams.Identity,
         time: clock.Clock,
         fleet: fleets.Fleet,
     ) -> None:
         self._own = own
-        self._options = options
-        self._identity = identity
         self._clock = time
         self._fleet = fleet
         self._connections: set[streams.Connection] = set()
-        self._dialers_by_address: dict[Address, asyncio.Task[None]] = {}
+        self._dialers = dialing.Dialers(options, identity, time, self.serve)
         self.source: table_source.TableSource | None = None
 
-    def addresses(self) -> tuple[Address, ...]:
+    def addresses(self) -> tuple[dialing.Address, ...]:
         """Returns all entries known, this one among them."""
-        return (self._own, *self._dialers_by_address)
+        return (self._own, *self._dialers.addresses)
 
-    def learn(self, addresses: list[Address]) -> None:
+    def learn(self, addresses: list[dialing.Address]) -> None:
         """Dials entries that were not known, and tells all others of them."""
-        fresh = [
-            address
-            for address in addresses
-            if address != self._own and address not in self._dialers_by_address
-        ]
-        if not fresh:
+        others = [address for address in addresses if address != self._own]
+        if not self._dialers.learn(others):
             return
-        loop = asyncio.get_running_loop()
-        for address in fresh:
-            if len(self._dialers_by_address) < _MAX_ENTRIES:
-                self._dialers_by_address[address] = loop.create_task(
-                    self._keep_dialed(address)
-                )
         message = runmessages.Entries(self.addresses())
         self._fleet.broadcast(message)
         for connection in self._connections:
@@ -124,44 +107,3 @@
     def _request(self, connection: streams.Connection, version: int) -> None:
         if version > self._version():
             connection.send(runmessages.RoutingRequest(self._version()))
-
-    async def _keep_dialed(self, address: Address) -> None:
-        reached_ms = self._clock.now_ms()
-        pause_ms = _REDIAL_MIN_MS
-        while True:
-            try:
-                await self._dial(address)
-                reached_ms = self._clock.now_ms()
-                pause_ms = _REDIAL_MIN_MS
-            except streams.ConnectionLost as error:
-                _log.info(
-                    "No stream to an entry.",
-                    address=address[0],
-                    why=str(error)[:80],
-                )
-            unreached_ms = self._clock.now_ms() - reached_ms
-            if (
-                unreached_ms > _FORGET_MS
-                and address not in self._options.seed_addresses()
-            ):
-                del self._dialers_by_address[address]
-                return
-            await asyncio.sleep(pause_ms / 1_000)
-            pause_ms = min(2 * pause_ms, _REDIAL_MAX_MS)
-
-    async def _dial(self, address: Address) -> None:
-        host, port = address
-        connection = await streams.connect(
-            settings.Address.model_validate({"host": host, "port": port}),
-            self._options.streams,
-            self._identity,
-            self._clock,
-        )
-        try:
-            await self.serve(connection)
-        except streams.ConnectionLost as error:
-            _log.info(
-                "An entry is lost.",
-                entry=connection.peer.id,
-                why=str(error)[:80],
-            )
--- a/packages/daemon/src/sardinerouted/hosted/reload.py
+++ b/packages/daemon/src/sardinerouted/hosted/reload.py
@@ -5,16 +5,15 @@
 
 from sardineroute_core import logs
 from sardineroute_core import settings
+from sardinerouted import dialing
 
 _log = logs.part("settings")
 
-Address = tuple[str, int]
-
 
 def reload(
     path: pathlib.Path,
     current: settings.HostedEntry | settings.HostedSidecar,
-    learn: Callable[[list[Address]], None],
+    learn: Callable[[list[dialing.Address]], None],
 ) -> None:
     """Puts in force what may change in a running process: log level, seeds.
 
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/worker/calls.py
@@ -0,0 +1,125 @@
+"""Orders to a worker from the event loop: its clock, and the fencing token."""
+
+import asyncio
+import concurrent.futures
+import time as system_time
+from collections.abc import Callable
+from typing import Any
+
+from sardineroute_core import clock
+from sardineroute_core import hosting
+from sardineroute_core import logs
+from sardinerouted.worker import ledger
+
+# Lease of all runs at the worker. With the entry's lease and the time of a
+# stop it stays below the 1,300 ms after which callers send again.
+RUN_LEASE_MS = 450
+_ORDER_THREADS = 8
+_HOLD_THREADS = 2
+# Added to the token when the worker has seen a higher one, from a sidecar
+# whose clock was ahead.
+_TOKEN_STEP = 60_000
+
+_log = logs.part("worker")
+
+
+class Calls:
+    """Calls to the worker beside this sidecar, each in a thread.
+
+    All raise what `hosting.WorkerClient` raises.
+    """
+
+    def __init__(self, time: clock.Clock, client: hosting.WorkerClient) -> None:
+        self._clock = time
+        self._client = client
+        # Above that of any earlier sidecar here, unless the time of day went
+        # back; then the worker says so.
+        self._token = int(system_time.time() * 1_000)
+        self._offset_ms: int | None = None
+        self._orders = concurrent.futures.ThreadPoolExecutor(
+            _ORDER_THREADS, thread_name_prefix="order"
+        )
+        self._holds = concurrent.futures.ThreadPoolExecutor(
+            _HOLD_THREADS, thread_name_prefix="hold"
+        )
+
+    async def start(self, worker: str, run: ledger.Run) -> hosting.StartReply:
+        """Starts a run; a refusal for the token raises the token."""
+        reply, clock_ms = await _in_thread(
+            self._orders,
+            self._client.start,
+            worker,
+            run.ref,
+            run.order.payload,
+            self._lease_until_ms(),
+            self._token,
+        )
+        if clock_ms is not None:
+            self.take_clock(clock_ms)
+        if reply is hosting.StartReply.FENCED:
+            self._raise_token()
+        return hosting.StartReply(reply)
+
+    async def stop(self, worker: str, ref: hosting.RunRef) -> None:
+        """Ends a run, or makes sure that it never starts."""
+        try:
+            await _in_thread(
+                self._orders, self._client.stop, worker, ref, self._token
+            )
+        except hosting.Rejected as error:
+            self._take_rejection(str(error))
+            raise
+
+    async def hold(
+        self, worker: str, acknowledged: int, wait_ms: int
+    ) -> hosting.Holdings:
+        """Renews the lease of all runs; waits for an end up to `wait_ms`."""
+        try:
+            holdings = await _in_thread(
+                self._holds,
+                self._client.hold,
+                worker,
+                self._lease_until_ms(),
+                self._token,
+                acknowledged,
+                wait_ms,
+            )
+        except hosting.Rejected as error:
+            self._take_rejection(str(error))
+            raise
+        assert isinstance(holdings, hosting.Holdings)
+        return holdings
+
+    def take_clock(self, clock_ms: int) -> None:
+        """Takes a reading of the worker's clock.
+
+        It was made before now, so that times computed from it are never later
+        than the worker's own.
+        """
+        self._offset_ms = clock_ms - self._clock.now_ms()
+
+    def forget_clock(self) -> None:
+        """Forgets the clock of a worker that has gone."""
+        self._offset_ms = None
+
+    def _lease_until_ms(self) -> int:
+        if self._offset_ms is None:
+            return 0
+        return self._clock.now_ms() + self._offset_ms + RUN_LEASE_MS
+
+    def _take_rejection(self, reason: str) -> None:
+        if "fence" in reason:
+            self._raise_token()
+
+    def _raise_token(self) -> None:
+        self._token += _TOKEN_STEP
+        _log.warning("A higher token is in use.", next_token=self._token)
+
+
+async def _in_thread(
+    pool: concurrent.futures.Executor,
+    function: Callable[..., Any],
+    *arguments: Any,
+) -> Any:
+    loop = asyncio.get_running_loop()
+    return await loop.run_in_executor(pool, function, *arguments)
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -1,8 +1,6 @@
 """Starts and stops runs at one worker, and learns of their ends."""
 
 import asyncio
-import concurrent.futures
-import time as system_time
 from collections.abc import Callable
 from typing import Any
 
@@ -11,26 +9,17 @@
 from sardineroute_core import logs
 from sardineroute_core import runmessages
 from sardineroute_core import work
+from sardinerouted.worker import calls
 from sardinerouted.worker import ledger
 from sardinerouted.worker import pace
 from sardinerouted.worker import workermetrics
 
-# Lease of all runs at the worker. With the entry's lease and the time of a
-# stop it stays below the 1,300 ms after which callers send again.
-RUN_LEASE_MS = 450
 # Several renewals fit into a lease, each with time for an answer.
 _RENEW_MS = 130
 # Renewals don't follow each other faster, so that a slow answer costs little.
 _MIN_RENEW_MS = 20
 _WAIT_FOR_END_MS = 400
-_ORDER_THREADS = 8
-_HOLD_THREADS = 2
-# Added to the token when the worker has seen a higher one, from a sidecar
-# whose clock was ahead.
-_TOKEN_STEP = 60_000
 _FOREVER_MS = 2**62
-# Runs that ended so recently may still be listed by an older answer.
-_RECENT_MS = 3_000
 _STOP_RETRY_MS = 40
 # A worker that has no room though it should is tried again after so long.
 _FULL_RETRY_MS = 20
@@ -56,7 +45,7 @@
         self, time: clock.Clock, client: hosting.WorkerClient, report: Report
     ) -> None:
         self._clock = time
-        self._client = client
+        self._calls = calls.Calls(time, client)
         self._report = report
         self.runs = ledger.Ledger()
         self.pace = pace.Pace(time)
@@ -64,20 +53,9 @@
         self.draining = False
         self.on_change: Callable[[], None] = lambda: None
         self.lease_of: Callable[[str], int] = lambda owner: _FOREVER_MS
-        # Above that of any earlier sidecar here, unless the time of day went
-        # back; then the worker says so.
-        self._token = int(system_time.time() * 1_000)
-        self._offset_ms: int | None = None
         self._acknowledged = 0
         self._has_unacknowledged = True
         self._newest_list_ms = 0
-        self._recent: dict[hosting.RunRef, int] = {}
-        self._orders = concurrent.futures.ThreadPoolExecutor(
-            _ORDER_THREADS, thread_name_prefix="order"
-        )
-        self._holds = concurrent.futures.ThreadPoolExecutor(
-            _HOLD_THREADS, thread_name_prefix="hold"
-        )
         self._wanted = asyncio.Event()
         self._began = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -92,17 +70,17 @@
     def register(self, registration: hosting.Registration) -> None:
         """Takes a heartbeat of the worker."""
         known = self.worker
-        if known is not None and _is_older(registration, known):
+        if known is not None and registration.precedes(known):
             _log.info("An old heartbeat was dropped.", worker=registration.id)
             return
-        changed = known is None or _life(known) != _life(registration)
+        changed = known is None or known.life != registration.life
         if changed:
             self._begin_life(registration)
         draining = known is not None and known.draining
         self.worker = registration
         self.runs.capacity = registration.capacity
-        if registration.clock_ms is not None and self._offset_ms is None:
-            self._take_clock(registration.clock_ms)
+        if registration.clock_ms is not None and changed:
+            self._calls.take_clock(registration.clock_ms)
         if changed or draining != registration.draining:
             _log.info(
                 "The worker has registered.",
@@ -134,13 +112,13 @@
         if other is not None:
             if other.owner != owner:
                 self.stop(other, work.Outcome.STOPPED)
-            self._refuse(run, work.Outcome.REFUSED_BUSY)
+            self._end(run, work.Outcome.REFUSED_BUSY)
         elif not self.accepts:
-            self._refuse(run, work.Outcome.REFUSED_LEAVING)
+            self._end(run, work.Outcome.REFUSED_LEAVING)
         elif not self._is_meant(order):
-            self._refuse(run, work.Outcome.REFUSED_BY_WORKER)
+            self._end(run, work.Outcome.REFUSED_BY_WORKER)
         elif self._is_void(run):
-            self._refuse(run, work.Outcome.REFUSED_LATE)
+            self._end(run, work.Outcome.REFUSED_LATE)
         else:
             self.runs.add(run)
             self.pump()
@@ -162,9 +140,9 @@
         now_ms = self._clock.now_ms()
         for run in self.runs.waiting():
             if now_ms > run.order.start_by_ms:
-                self._refuse(run, work.Outcome.REFUSED_FULL)
+                self._end(run, work.Outcome.REFUSED_FULL)
             elif not self.accepts:
-                self._refuse(run, work.Outcome.REFUSED_LEAVING)
+                self._end(run, work.Outcome.REFUSED_LEAVING)
         # Without a list of what the worker runs its room isn't known.
         if now_ms < self._blocked_until_ms or self._newest_list_ms == 0:
             return
@@ -209,7 +187,7 @@
 
     def _is_meant(self, order: runmessages.StartRun) -> bool:
         worker = self.worker
-        return worker is not None and _life(worker) == (
+        return worker is not None and worker.life == (
             order.worker,
             order.incarnation,
         )
@@ -238,25 +216,15 @@
         worker = self.worker
         if worker is None or self._is_void(run):
             self.runs.put_back(run)
-            self._refuse(run, work.Outcome.REFUSED_LATE)
+            self._end(run, work.Outcome.REFUSED_LATE)
             return
         try:
-            reply, clock_ms = await self._call(
-                self._orders,
-                self._client.start,
-                worker.id,
-                run.ref,
-                run.order.payload,
-                self._lease_until_ms(),
-                self._token,
-            )
+            reply = await self._calls.start(worker.id, run)
         except hosting.Unanswered as error:
             self._doubt(run, str(error))
             return
         if self.runs.find(run.ref.task) is not run:
             return
-        if clock_ms is not None:
-            self._take_clock(clock_ms)
         self._take_reply(run, reply)
 
     def _doubt(self, run: ledger.Run, why: str) -> None:
@@ -284,18 +252,17 @@
         if run.stop_as is not None:
             self._end(run, work.Outcome.WITHDRAWN)
         elif reply is hosting.StartReply.FENCED:
-            self._raise_token()
             self.pump()
         elif reply in (hosting.StartReply.FULL, hosting.StartReply.LATE):
             # Put back; the renewal's list shows what takes the room.
             self._block(_FULL_RETRY_MS)
             self._wanted.set()
         elif reply is hosting.StartReply.OLD:
-            self._refuse(run, work.Outcome.REFUSED_OLD)
+            self._end(run, work.Outcome.REFUSED_OLD)
         else:
             if reply is hosting.StartReply.UNHEALTHY:
                 self.pace.fail()
-            self._refuse(run, work.Outcome.REFUSED_BY_WORKER)
+            self._end(run, work.Outcome.REFUSED_BY_WORKER)
 
     def _block(self, for_ms: int) -> None:
         self._blocked_until_ms = self._clock.now_ms() + for_ms
@@ -314,9 +281,7 @@
         if worker is None:
             return False
         try:
-            await self._call(
-                self._orders, self._client.stop, worker.id, ref, self._token
-            )
+            await self._calls.stop(worker.id, ref)
         except hosting.Unanswered as error:
             _log.warning("A stop was not answered.", why=str(error)[:80])
             return False
@@ -331,14 +296,8 @@
             return False
         sent_ms = self._clock.now_ms()
         try:
-            holdings = await self._call(
-                self._holds,
-                self._client.hold,
-                worker.id,
-                self._lease_until_ms(),
-                self._token,
-                self._acknowledged,
-                wait_ms,
+            holdings = await self._calls.hold(
+                worker.id, self._acknowledged, wait_ms
             )
         except hosting.Unanswered:
             workermetrics.unanswered()
@@ -347,23 +306,17 @@
             self._take_rejection(str(error))
             return False
         if worker is not self.worker and (
-            self.worker is None or _life(worker) != _life(self.worker)
+            self.worker is None or worker.life != self.worker.life
         ):
             return False
         self._take_holdings(holdings, sent_ms)
         return True
 
     def _take_rejection(self, reason: str) -> None:
-        if "fence" in reason:
-            self._raise_token()
-        elif reason.startswith("421"):
+        if reason.startswith("421"):
             _log.warning("Another worker answers.", reason=reason)
             self._lose_worker()
 
-    def _raise_token(self) -> None:
-        self._token += _TOKEN_STEP
-        _log.warning("A higher token is in use.", next_token=self._token)
-
     def _take_holdings(self, holdings: hosting.Holdings, sent_ms: int) -> None:
         worker = self.worker
         if worker is None or (
@@ -372,7 +325,7 @@
             and holdings.incarnation != worker.incarnation
         ):
             return
-        self._take_clock(holdings.clock_ms)
+        self._calls.take_clock(holdings.clock_ms)
         ended_refs = set()
         for end in holdings.ended:
             ended_refs.add(end.run)
@@ -412,16 +365,9 @@
                 self._end(run, work.Outcome.LAPSED)
 
     def _take_strangers(self, running: frozenset[hosting.RunRef]) -> None:
-        now_ms = self._clock.now_ms()
-        for ref, ended_ms in list(self._recent.items()):
-            if now_ms - ended_ms > _RECENT_MS:
-                del self._recent[ref]
-        strangers = frozenset(
-            ref
-            for ref in running
-            if not self.runs.has(ref) and ref not in self._recent
-        )
-        for ref in strangers - self.runs.strangers:
+        before = self.runs.strangers
+        self.runs.note_listed(running, self._clock.now_ms())
+        for ref in self.runs.strangers - before:
             _log.warning(
                 "The worker runs what nobody here ordered.",
                 job=ref.task.job,
@@ -429,23 +375,17 @@
                 index=ref.task.index,
                 number=ref.number,
             )
-        for ref in strangers:
+        for ref in self.runs.strangers:
             self._spawn(self._stop_stranger(ref))
-        self.runs.strangers = strangers
 
     async def _stop_stranger(self, ref: hosting.RunRef) -> None:
         await self._try_stop(ref)
 
-    def _refuse(self, run: ledger.Run, outcome: work.Outcome) -> None:
-        self._end(run, outcome)
-
     def _end(self, run: ledger.Run, outcome: work.Outcome) -> None:
         """Forgets a run that has ended or never started, and tells it."""
         now_ms = self._clock.now_ms()
         run_ms = now_ms - run.started_ms if run.started_ms else 0
-        self.runs.remove(run)
-        if run.confirmed:
-            self._recent[run.ref] = now_ms
+        self.runs.remove(run, now_ms)
         if outcome is work.Outcome.DONE:
             self.pace.learn(run.order.estimate_ms, run_ms)
         elif outcome is work.Outcome.FAILED:
@@ -467,7 +407,7 @@
         self._acknowledged = 0
         self._has_unacknowledged = True
         self._newest_list_ms = 0
-        self._offset_ms = None
+        self._calls.forget_clock()
         self.runs.strangers = frozenset()
         self._wanted.set()
         self.pace = pace.Pace(self._clock)
@@ -487,45 +427,12 @@
                 else work.Outcome.LAPSED,
             )
 
-    def _take_clock(self, clock_ms: int) -> None:
-        # The worker's clock was read before now, so that times computed from
-        # this are never later than the worker's own.
-        self._offset_ms = clock_ms - self._clock.now_ms()
-
-    def _lease_until_ms(self) -> int:
-        if self._offset_ms is None:
-            return 0
-        return self._clock.now_ms() + self._offset_ms + RUN_LEASE_MS
-
-    async def _call(
-        self,
-        pool: concurrent.futures.Executor,
-        function: Callable[..., Any],
-        *arguments: Any,
-    ) -> Any:
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(pool, function, *arguments)
-
     def _spawn(self, work_to_do: Any) -> None:
         task = asyncio.get_running_loop().create_task(work_to_do)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
 
-def _life(registration: hosting.Registration) -> tuple[str, int]:
-    return registration.id, registration.incarnation
-
-
-def _is_older(
-    registration: hosting.Registration, known: hosting.Registration
-) -> bool:
-    if registration.incarnation != known.incarnation:
-        return registration.incarnation < known.incarnation
-    return (
-        registration.id == known.id and registration.sequence < known.sequence
-    )
-
-
 def _about(run: ledger.Run) -> dict[str, Any]:
     return {
         "job": run.ref.task.job,
--- a/packages/daemon/src/sardinerouted/worker/ledger.py
+++ b/packages/daemon/src/sardinerouted/worker/ledger.py
@@ -10,6 +10,9 @@
 from sardineroute_core import runmessages
 from sardineroute_core import work
 
+# A run that ended so recently may still be listed by an older answer.
+_RECENT_MS = 3_000
+
 
 class Phase(enum.Enum):
     """Where a run stands; all but `WAITING` take room."""
@@ -69,6 +72,7 @@
         self._runs_by_task: dict[work.TaskId, Run] = {}
         self._waiting: list[tuple[int, int, Run]] = []
         self._order = itertools.count()
+        self._ended_ms_by_ref: dict[hosting.RunRef, int] = {}
 
     def __len__(self) -> int:
         return len(self._runs_by_task)
@@ -132,13 +136,28 @@
         run.phase = Phase.WAITING
         self._wait(run)
 
-    def remove(self, run: Run) -> None:
+    def note_listed(
+        self, running: frozenset[hosting.RunRef], now_ms: int
+    ) -> None:
+        """Takes note of the runs that the worker lists."""
+        for ref, ended_ms in list(self._ended_ms_by_ref.items()):
+            if now_ms - ended_ms > _RECENT_MS:
+                del self._ended_ms_by_ref[ref]
+        self.strangers = frozenset(
+            ref
+            for ref in running
+            if not self.has(ref) and ref not in self._ended_ms_by_ref
+        )
+
+    def remove(self, run: Run, now_ms: int) -> None:
         """Forgets a run that takes no room any more."""
         if self._runs_by_task.get(run.ref.task) is not run:
             return
         del self._runs_by_task[run.ref.task]
         if run.phase is not Phase.WAITING:
             self._used = self._used.minus(run.size)
+        if run.confirmed:
+            self._ended_ms_by_ref[run.ref] = now_ms
 
     def _wait(self, run: Run) -> None:
         heapq.heappush(self._waiting, (run.order.rank, next(self._order), run))
--- a/packages/daemon/src/sardinerouted/worker/stations.py
+++ b/packages/daemon/src/sardinerouted/worker/stations.py
@@ -11,6 +11,7 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardineroute_core import work
+from sardinerouted import dialing
 from sardinerouted.worker import executor
 from sardinerouted.worker import ledger
 from sardinerouted.worker import load
@@ -28,16 +29,11 @@
 _LOAD_MS_PER_ENTRY = 12
 # A renewal is answered with the load unless that was told so lately.
 _ANSWER_MS = 100
-_REDIAL_MIN_MS = 50
-_REDIAL_MAX_MS = 2_000
-# An address that nobody has answered at for so long is forgotten; seeds stay.
+# An entry without a stream and without runs is forgotten after so long.
 _FORGET_MS = 60_000
-_MAX_ENTRIES = 256
 
 _log = logs.part("stations")
 
-Address = tuple[str, int]
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Station:
@@ -59,7 +55,12 @@
 
 
 class Stations:
-    """All entries that this sidecar works for."""
+    """All entries that this sidecar works for.
+
+    Attributes:
+        executor: The runs of the worker.
+        dialers: The streams to the entries.
+    """
 
     def __init__(
         self,
@@ -69,14 +70,13 @@
         client: hosting.WorkerClient,
     ) -> None:
         self._options = options
-        self._identity = identity
         self._clock = time
         self.executor = executor.Executor(time, client, self._report)
         self.executor.on_change = self._tell_worker
         self.executor.lease_of = self._lease_of
         self._meter = load.Meter(time, self.executor.runs, self.executor.pace)
         self._stations_by_owner: dict[str, _Station] = {}
-        self._dialers_by_address: dict[Address, asyncio.Task[None]] = {}
+        self.dialers = dialing.Dialers(options, identity, time, self._serve)
         self._changed = asyncio.Event()
 
     @property
@@ -88,18 +88,9 @@
             if station.connection is not None
         )
 
-    def learn(self, addresses: list[Address]) -> None:
+    def learn(self, addresses: list[dialing.Address]) -> None:
         """Dials entries that were not known yet."""
-        for address in addresses:
-            if address in self._dialers_by_address:
-                continue
-            if len(self._dialers_by_address) >= _MAX_ENTRIES:
-                _log.warning("Too many entries.", address=address[0])
-                return
-            dialer = asyncio.get_running_loop().create_task(
-                self._keep_dialed(address)
-            )
-            self._dialers_by_address[address] = dialer
+        self.dialers.learn(addresses)
 
     def drain(self) -> None:
         """Takes no new runs from now on."""
@@ -175,57 +166,16 @@
         for run in stoppable:
             self.executor.stop(run, work.Outcome.LAPSED)
 
-    async def _keep_dialed(self, address: Address) -> None:
-        failed_since_ms = self._clock.now_ms()
-        pause_ms = _REDIAL_MIN_MS
-        while True:
-            try:
-                await self._serve(address)
-            except streams.ConnectionLost as error:
-                _log.info("No stream.", address=address[0], why=str(error)[:80])
-            else:
-                failed_since_ms = self._clock.now_ms()
-                pause_ms = _REDIAL_MIN_MS
-            failed_ms = self._clock.now_ms() - failed_since_ms
-            if failed_ms > _FORGET_MS and not self._is_seed(address):
-                del self._dialers_by_address[address]
-                _log.info("An entry is forgotten.", address=address[0])
-                return
-            await asyncio.sleep(pause_ms / 1_000)
-            pause_ms = min(2 * pause_ms, _REDIAL_MAX_MS)
-
-    def _is_seed(self, address: Address) -> bool:
-        return address in self._options.seed_addresses()
-
-    async def _serve(self, address: Address) -> None:
-        """Works for one entry until its stream breaks.
-
-        Raises:
-            streams.ConnectionLost: No stream could be opened.
-        """
-        host, port = address
-        connection = await streams.connect(
-            settings.Address.model_validate({"host": host, "port": port}),
-            self._options.streams,
-            self._identity,
-            self._clock,
-        )
+    async def _serve(self, connection: streams.Connection) -> None:
+        """Works for one entry until its stream breaks."""
         owner = connection.peer.incarnation
         station = self._adopt(owner, connection)
-        _log.info("An entry is reached.", entry=connection.peer.id)
         try:
             async for message in connection.receive():
                 self._take(station, owner, message)
-        except streams.ConnectionLost as error:
-            _log.warning(
-                "An entry is lost.",
-                entry=connection.peer.id,
-                why=str(error)[:80],
-            )
         finally:
             if station.connection is connection:
                 station.connection = None
-            connection.abort()
 
     def _adopt(self, owner: str, connection: streams.Connection) -> _Station:
         station = self._stations_by_owner.get(owner)
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -58,9 +58,11 @@
         self._tasks.append(asyncio.create_task(self.desk.watch()))
 
     def freeze(self) -> None:
-        """Neither renews leases nor looks after its jobs any more."""
+        """Sends nothing any more, on streams that stay open."""
         for task in self._tasks:
             task.cancel()
+        for connection in self.connections:
+            connection.send = _send_nothing  # type: ignore[method-assign]
 
     async def stop(self) -> None:
         """Ends the entry and its streams."""
@@ -187,6 +189,10 @@
         await rig.stop()
 
 
+def _send_nothing(message: object) -> None:
+    del message
+
+
 def _streams(port: int) -> settings.Streams:
     return settings.Streams.model_validate(
         {"listen": {"host": "127.0.0.1", "port": port}, "secret": _SECRET}
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -9,9 +9,9 @@
 import hostedrig
 from sardineroute_core import hosting
 from sardineroute_core import work
-from sardinerouted.dispatching import desk as desks
+from sardinerouted.dispatching import remembered
 from sardinerouted.dispatching import sidecars
-from sardinerouted.worker import executor
+from sardinerouted.worker import calls
 
 # Callers send a job again so long after they have lost its connection.
 RESEND_MS = 1_300
@@ -109,7 +109,7 @@
 
 
 def test_leases_end_together_before_callers_send_again() -> None:
-    worker_lease_ms = executor.RUN_LEASE_MS * 1.02
+    worker_lease_ms = calls.RUN_LEASE_MS * 1.02
     stop_ms = 50
     assert sidecars.LEASE_MS + worker_lease_ms + stop_ms < RESEND_MS
 
@@ -142,9 +142,7 @@
             sidecar = rig.sidecars[busy]
             for task in rig._tasks[4 * busy : 4 * busy + 4]:
                 task.cancel()
-            sidecar.learn = lambda addresses: None  # type: ignore[method-assign]
-            for dialer in sidecar._dialers_by_address.values():
-                dialer.cancel()
+            sidecar.dialers.stop()
             workers[busy].run_ms = 10_000
             states = await asyncio.gather(*lost)
             assert states == ["completed"] * 2
@@ -213,7 +211,7 @@
 
 
 def test_ended_jobs_are_remembered_for_a_bounded_time() -> None:
-    assert desks._REMEMBERED_MS >= RESEND_MS
+    assert remembered.REMEMBERED_MS >= RESEND_MS
 
 
 def test_retry_is_not_sent_for_a_caller_that_has_left() -> None:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -11,6 +11,7 @@
 from sardineroute_core import clock
 from sardineroute_core import hosting
 from sardineroute_core import work
+from sardinerouted.worker import calls
 from sardinerouted.worker import executor
 from sardinerouted.worker import ledger
 
@@ -147,7 +148,7 @@
         await rig.until(lambda: bool(rig.ends))
         assert rig.outcomes() == {"job-1": work.Outcome.DONE}
         now_ms = rig.worker.clock_ms()
-        assert rig.worker.lease_until_ms <= now_ms + executor.RUN_LEASE_MS
+        assert rig.worker.lease_until_ms <= now_ms + calls.RUN_LEASE_MS
 
     run(test, worker)
 
