--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -10,6 +10,10 @@
 from contextlib import contextmanager
 from typing import Any
 
+import fakeworker
+from sardineroute_core import hosting
+from sardineroute_platform import orders
+
 
 class Platform:
     """What the stand-in holds and how it misbehaves.
@@ -21,6 +25,7 @@
         silent: Whether calls get no answer.
         orders: Bodies of the orders to the worker, with path.
         order_reply: Status and body of the answer to an order.
+        worker: Carries orders out in place of the one reply.
     """
 
     def __init__(self) -> None:
@@ -30,6 +35,7 @@
         self.silent = False
         self.orders: list[tuple[str, dict[str, Any], str]] = []
         self.order_reply: tuple[int, Any] = (200, {"clockMs": 5})
+        self.worker: fakeworker.FakeWorker | None = None
         self.address = ""
 
     def append(self, topic: str, key: str, value: bytes) -> None:
@@ -59,6 +65,9 @@
             target = self.headers.get("Target-Instance", "")
             platform.orders.append((self.path, json.loads(body), target))
             status, document = platform.order_reply
+            if platform.worker is not None:
+                order = platform.orders[-1][1]
+                status, document = _carry_out(platform.worker, self.path, order)
             content = document
             if not isinstance(document, bytes):
                 content = json.dumps(document).encode()
@@ -87,6 +96,39 @@
         server.server_close()
 
 
+def _carry_out(
+    worker: fakeworker.FakeWorker, path: str, order: dict[str, Any]
+) -> tuple[int, Any]:
+    token = order["fencingToken"]
+    if path == "/v1/hold":
+        held = worker.hold(
+            "", order["deadlineMs"], token, order["lastSeen"], order["waitMs"]
+        )
+        return 200, {
+            "clockMs": held.clock_ms,
+            "born": held.incarnation,
+            "running": [_row(run) for run in held.running],
+            "endedRuns": [
+                [end.sequence, *_row(end.run)[:2], end.outcome.name.lower(), ""]
+                for end in held.ended
+            ],
+        }
+    run = hosting.RunRef(orders.decode_task(order["task"]), order["run"])
+    if path == "/v1/run-stop":
+        worker.stop("", run, token)
+        return 200, {"clockMs": worker.clock_ms()}
+    reply, clock_ms = worker.start(
+        "", run, order["spec"], order["deadlineMs"], token
+    )
+    if reply is hosting.StartReply.STARTED:
+        return 200, {"clockMs": clock_ms}
+    return 409, {"clockMs": clock_ms, "reason": reply.value}
+
+
+def _row(run: hosting.RunRef) -> list[Any]:
+    return [orders.encode_task(run.task), run.number, "", 100]
+
+
 def _store_get(platform: Platform, target: str) -> tuple[int, bytes]:
     path, _, text = target.partition("?")
     query = dict(urllib.parse.parse_qsl(text))
