--- /dev/null
+++ b/tests/hostedprocesses.py
@@ -0,0 +1,210 @@
+"""Hosted entries and sidecars as processes, on a stand-in of the platform."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import urllib3
+import yaml
+
+import fakeworker
+import platformserver
+from sardineroute_standins import ports as ports_module
+
+HOST = "a.example"
+_SECRET = "a secret of sixteen"
+_READY_S = 20.0
+
+
+def configuration(version: int) -> bytes:
+    """Returns the operator's record of a version."""
+    route = {
+        "name": "r-1",
+        "hostname": HOST,
+        "pathPrefix": "/a/",
+        "service": "receipts",
+        "targetLatencyMs": 400,
+        "stretch": 2.0,
+        "maxAttempts": 3,
+    }
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [route],
+            "services": [{"name": "receipts"}],
+        }
+    ).encode()
+
+
+class Fleet:
+    """Entries, and a sidecar for each worker."""
+
+    def __init__(
+        self,
+        store: platformserver.Platform,
+        folder: pathlib.Path,
+        entries: int,
+        workers: list[fakeworker.FakeWorker],
+    ) -> None:
+        self._store = store
+        self._folder = folder
+        self._workers = workers
+        self._entries = [f"entry-{n}" for n in range(entries)]
+        self._sidecars = [f"sidecar-{n}" for n in range(len(workers))]
+        self._reserved = ports_module.Ports()
+        self._ports: dict[str, int] = {}
+        self._worker_servers = [platformserver.serve() for _ in workers]
+        self._worker_addresses: list[str] = []
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self) -> None:
+        """Starts all, and waits until all entries are ready."""
+        for server, worker in zip(
+            self._worker_servers, self._workers, strict=True
+        ):
+            platform = server.__enter__()
+            platform.worker = worker
+            self._worker_addresses.append(platform.address)
+        for name in self.names():
+            self.revive(name)
+        self.until(self.is_ready)
+
+    def names(self) -> list[str]:
+        """Returns the names of all processes."""
+        return [*self._entries, *self._sidecars]
+
+    def address(self, name: str, listener: str) -> str:
+        """Returns the address of a listener of a process."""
+        key = f"{name}/{listener}"
+        if key not in self._ports:
+            self._ports[key] = self._reserved.reserve()
+        return f"127.0.0.1:{self._ports[key]}"
+
+    def front(self, number: int) -> str:
+        """Returns the URL at which an entry takes jobs."""
+        name = self._entries[number % len(self._entries)]
+        return f"http://{self.address(name, 'front')}"
+
+    def revive(self, name: str) -> None:
+        """Starts a process that doesn't run."""
+        process = self.processes_by_name.get(name)
+        if process is not None and process.poll() is None:
+            return
+        role = name.partition("-")[0]
+        path = self.settings_path(name)
+        path.write_text(yaml.safe_dump(self._settings(name)))
+        command = [sys.executable, "-m", "sardinerouted.main", role]
+        with (self._folder / f"{name}.out").open("ab") as output:
+            self.processes_by_name[name] = subprocess.Popen(
+                [*command, "--settings", str(path)],
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that runs."""
+        process = self.processes_by_name[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def settings_path(self, name: str) -> pathlib.Path:
+        """Returns the settings file of a process."""
+        return self._folder / f"{name}.yaml"
+
+    def output(self, name: str) -> str:
+        """Returns what a process has printed."""
+        return (self._folder / f"{name}.out").read_text()
+
+    def until(self, holds: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
+        end_s = time.monotonic() + _READY_S
+        while not holds():
+            assert time.monotonic() < end_s, self.output(self._entries[0])
+            time.sleep(0.05)
+
+    def is_ready(self) -> bool:
+        """Sends heartbeats; returns whether the balancer would use all."""
+        self.beat()
+        return all(
+            _status("GET", f"http://{self.address(name, 'ready')}/v1/readiness")
+            == 200
+            for name in self._entries
+        )
+
+    def beat(self) -> None:
+        """Sends a heartbeat of each worker."""
+        for name, worker in zip(self._sidecars, self._workers, strict=True):
+            body = {
+                "service": "receipts",
+                "state": "ready",
+                "capacity": {"cpu": 4_000, "memMb": 1_000},
+                "labels": ["a"],
+                "clockMs": worker.clock_ms(),
+                "sequence": int(time.monotonic() * 1_000),
+                "born": worker.incarnation,
+            }
+            url = f"http://{self.address(name, 'control')}"
+            url += f"/v1/instances/w-{name}/heartbeat"
+            _status("POST", url, json.dumps(body).encode())
+
+    def submit(self, job_id: str, job: Any) -> urllib3.BaseHTTPResponse:
+        """Returns the answer to a job at the first entry."""
+        return urllib3.request(
+            "POST",
+            f"{self.front(0)}/a/{job_id}",
+            body=json.dumps(job).encode(),
+            headers={"Host": HOST, "Deadline-Ms": "4000"},
+            retries=False,
+        )
+
+    def close(self) -> None:
+        """Ends the processes."""
+        for process in self.processes_by_name.values():
+            process.kill()
+            process.wait()
+        for server in self._worker_servers[: len(self._worker_addresses)]:
+            server.__exit__(None, None, None)
+        self._reserved.release()
+
+    def _settings(self, name: str) -> dict[str, Any]:
+        common = {
+            "id": name,
+            "adapter": "sardineroute_platform.adapter",
+            "failure_domain": "zone-1",
+            "store": self._store.address,
+            "seed_port": 1,
+            "metrics": self.address(name, "metrics"),
+            "logging": {"format": "json"},
+            "drain_timeout_ms": 3_000,
+        }
+        if name in self._entries:
+            return common | {
+                "role": "entry",
+                "streams": {
+                    "secret": _SECRET,
+                    "listen": self.address(name, "stream"),
+                },
+                "http": {"listen": self.address(name, "front"), "threads": 4},
+                "readiness": self.address(name, "ready"),
+                "leave_rotation_ms": 300,
+            }
+        return common | {
+            "role": "sidecar",
+            "streams": {"secret": _SECRET, "listen": "127.0.0.1:0"},
+            "worker": self._worker_addresses[self._sidecars.index(name)],
+            "control": self.address(name, "control"),
+        }
+
+
+def _status(method: str, url: str, body: bytes = b"") -> int:
+    try:
+        return urllib3.request(
+            method, url, body=body or None, retries=False, timeout=0.5
+        ).status
+    except urllib3.exceptions.HTTPError:
+        return 0
