Freeze the test's entry on new streams too; look that its runs stay ended

The frozen entry of the rig was silent on the old stream only, so that it took the ends from the new one and sent its tasks again; the test saw no run only if it looked in the few ms between. A frozen process answers on no stream. The test now also looks that nothing runs until the callers send again.

--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -41,6 +41,7 @@
         self.desk = desks.Desk(clock.Clock())
         self.address = ("127.0.0.1", 0)
         self.connections: list[streams.Connection] = []
+        self._frozen = False
         self._tasks: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
 
@@ -49,6 +50,8 @@
 
         async def handle(connection: streams.Connection) -> None:
             self.connections.append(connection)
+            if self._frozen:
+                await asyncio.Event().wait()
             await self.desk.fleet.serve(connection)
 
         self._server = await streams.serve(
@@ -58,7 +61,8 @@
         self._tasks.append(asyncio.create_task(self.desk.watch()))
 
     def freeze(self) -> None:
-        """Sends nothing any more, on streams that stay open."""
+        """Sends nothing any more, on streams that stay open or are new."""
+        self._frozen = True
         for task in self._tasks:
             task.cancel()
         for connection in self.connections:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -98,7 +98,11 @@
             frozen_s = time.monotonic()
             rig.entries[0].freeze()
             await rig.until(lambda: rig.running() == 0)
-            assert (time.monotonic() - frozen_s) * 1_000 < RESEND_MS
+            elapsed_ms = (time.monotonic() - frozen_s) * 1_000
+            assert elapsed_ms < RESEND_MS
+            await asyncio.sleep((RESEND_MS - elapsed_ms) / 1_000)
+            assert rig.running() == 0
+            assert len(rig.starts()) == 2
             again = asyncio.create_task(
                 rig.entries[1].submit("job", estimate_ms=9_000)
             )
