--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -24,7 +24,11 @@
 
 
 class _Section(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    # A process builds the validators of its own role only: they are a good
+    # part of its start.
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, defer_build=True
+    )
 
 
 class Address(_Section):
