Report the room that is there; take long tasks for stuck only on evidence; wait for workers after a start

Tasks of a step are alike, so their siblings' run times now replace the declared one; without them a run is stopped only far beyond it, or at a worker that is in trouble; and a sidecar takes overdue runs for trouble only where later ones don't end. - After all processes were killed the first sidecar to be known got all tasks, before it had listed and stopped what its worker still ran; fresh entries refused jobs as no worker was known. Sidecars now report no room until then, entries look again for 2.2 s after their start, and processes that were reached lately are dialed again each 250 ms. Ruled out for the 67 requests refused while all was down: no line of ours; the platform's balancer answers then.

--- a/packages/daemon/src/sardinerouted/dialing.py
+++ b/packages/daemon/src/sardinerouted/dialing.py
@@ -13,6 +13,10 @@
 Serve = Callable[[streams.Connection], Awaitable[None]]
 
 _REDIAL_MIN_MS = 50
+# A process that ended is mostly back within some seconds, and is of no use
+# until the others have reached it.
+_REDIAL_SOON_MS = 250
+_SOON_MS = 10_000
 _REDIAL_MAX_MS = 2_000
 # An address that nobody has answered at for so long is forgotten; seeds stay.
 _FORGET_MS = 60_000
@@ -76,7 +80,10 @@
                 _log.info("An entry is forgotten.", address=address[0])
                 return
             await asyncio.sleep(pause_ms / 1_000)
-            pause_ms = min(2 * pause_ms, _REDIAL_MAX_MS)
+            longest_ms = _REDIAL_MAX_MS
+            if unreached_ms < _SOON_MS:
+                longest_ms = _REDIAL_SOON_MS
+            pause_ms = min(2 * pause_ms, longest_ms)
 
     async def _dial(self, address: Address) -> bool:
         """Serves one stream until it breaks; returns whether there was one."""
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -42,13 +42,22 @@
 class Desk:
     """The jobs at this entry.
 
+    Args:
+        time: The clock.
+        far_factor: How much longer a task runs away from its data.
+        warm_ms: Until then more workers are expected to appear, and a job
+            that finds no room is looked at again.
+
     Attributes:
         routing_table: The configuration in force, or None before the first.
     """
 
-    def __init__(self, time: clock.Clock, far_factor: float = 1.0) -> None:
+    def __init__(
+        self, time: clock.Clock, far_factor: float = 1.0, warm_ms: int = 0
+    ) -> None:
         self._clock = time
         self._far_factor = far_factor
+        self._warm_ms = warm_ms
         self.routing_table: routing.Table | None = None
         self.fleet = fleets.Fleet(time, self._take_end)
         self.fleet.on_cancel = self._take_cancel
@@ -164,19 +173,18 @@
         if choices is None:
             # Tried again by `_check` for a short while.
             return
-        now_ms = self._clock.now_ms()
-        ends_ms = now_ms + max(
-            (choice.end_in_ms for _, choice in choices), default=0.0
-        )
         if any(
             choice.start_in_ms > 0 and not choice.on_time
             for _, choice in choices
         ):
+            if self._clock.now_ms() < self._warm_ms:
+                return
+            end_in_ms = max(choice.end_in_ms for _, choice in choices)
             self._end(
                 job,
                 jobs.State.FAILED,
                 _refusal("no room in time"),
-                expected_ms=int(ends_ms - now_ms),
+                expected_ms=int(end_in_ms),
             )
             return
         for task, choice in choices:
@@ -224,7 +232,7 @@
         task.sidecar_id = sidecar.id
         task.distance = choice.distance
         task.placed_ms = now_ms
-        task.expected_ms = now_ms + choice.end_in_ms
+        task.start_in_ms = choice.start_in_ms
         job.may_have_run = True
         job.placed_at.add(sidecar.id)
         job.load_age_ms = max(job.load_age_ms, sidecar.report_age_ms)
@@ -260,11 +268,11 @@
         """Takes the end of a run from a sidecar."""
         job = task.job
         if outcome is work.Outcome.DONE:
+            usual_ms = run_ms / (sidecar.slowness * task.distance)
             self._estimates.learn(
-                job.queue.name,
-                task.step.estimate_ms,
-                run_ms / (sidecar.slowness * task.distance),
+                job.queue.name, task.step.estimate_ms, usual_ms
             )
+            job.learn(task, usual_ms)
         if job.is_over:
             return
         if outcome is work.Outcome.DONE:
@@ -339,7 +347,7 @@
                     self.fleet.forget(task)
                     task.phase = jobs.Phase.QUEUED
             elif task.phase is jobs.Phase.PLACED:
-                known = self.fleet.known()
+                known = self.fleet.sidecars_by_id
                 if stragglers.is_stuck(task, known, now_ms, self._choose):
                     task.avoided |= {task.sidecar_id}
                     self.fleet.stop([task])
@@ -349,7 +357,9 @@
             self._place_queued(job)
             return
         self._admit(job)
-        patience_ms = _PATIENCE_SHARE * (job.objective_ms - job.received_ms)
+        patience_ms = job.objective_ms - job.received_ms
+        if now_ms >= self._warm_ms:
+            patience_ms = int(_PATIENCE_SHARE * patience_ms)
         if not job.may_have_run and now_ms - job.received_ms > patience_ms:
             self._give_up(job, "no worker can run it")
 
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -44,11 +44,12 @@
         number: Its starts so far, sent or not.
         failures: Runs that ended as failed.
         estimate_ms: Expected run time at a worker of usual speed.
+        has_evidence: Whether runs of its step showed the estimate.
         sidecar_id: Where it was sent.
         distance: How much longer it runs there for being far from its data.
         avoided: Sidecars where a run failed or was too slow.
         placed_ms: When it was sent.
-        expected_ms: When it was expected to end.
+        start_in_ms: How long it was expected to wait for its start then.
         retries: Times that it was sent again.
     """
 
@@ -57,13 +58,14 @@
     step: work.Step
     phase: Phase
     estimate_ms: float
+    has_evidence: bool = False
     number: int = 0
     failures: int = 0
     sidecar_id: str = ""
     distance: float = 1.0
     avoided: frozenset[str] = frozenset()
     placed_ms: int = 0
-    expected_ms: float = 0.0
+    start_in_ms: float = 0.0
     retries: int = 0
 
 
@@ -102,6 +104,7 @@
         self.request = request
         self.queue = queue
         self._estimates_ms = estimates_ms
+        self._runs_ms_by_step: dict[int, list[float]] = {}
         self.tasks_by_id = {
             task.id: task
             for number, step in enumerate(request.steps)
@@ -137,6 +140,20 @@
             if task.phase is Phase.QUEUED
         ]
 
+    def learn(self, task: Task, run_ms: float) -> None:
+        """Takes note of a run time at a worker of usual speed.
+
+        The tasks of a step are alike, so that a run says more of the others
+        than what the caller declared.
+        """
+        runs_ms = self._runs_ms_by_step.setdefault(task.id.step, [])
+        runs_ms.append(run_ms)
+        estimate_ms = sum(runs_ms) / len(runs_ms)
+        for other in self.tasks_by_id.values():
+            if other.id.step == task.id.step and other.phase is not Phase.DONE:
+                other.estimate_ms = estimate_ms
+                other.has_evidence = True
+
     def complete(self, task: Task) -> bool:
         """Takes note of a task done; returns whether others may now start."""
         task.phase = Phase.DONE
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -46,6 +46,11 @@
         return self.start_in_ms + self.run_ms
 
 
+def is_in_trouble(sidecar: sidecars.Sidecar) -> bool:
+    """Returns whether a worker gets tasks only where no other can."""
+    return sidecar.trouble >= _TROUBLE_LIMIT
+
+
 def candidates(
     task: jobs.Task, fleet: Iterable[sidecars.Sidecar]
 ) -> list[sidecars.Sidecar]:
@@ -75,7 +80,7 @@
     sound = [
         sidecar
         for sidecar in able
-        if sidecar.trouble < _TROUBLE_LIMIT and sidecar.id not in task.avoided
+        if not is_in_trouble(sidecar) and sidecar.id not in task.avoided
     ]
     if not able:
         return None
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -35,6 +35,9 @@
 
 # The entries' announcements are read again so often.
 _REFRESH_MS = 10_000
+# Sidecars that start with an entry are all known after so long: a start, and
+# the time between two heartbeats of a worker.
+_WARM_UP_MS = 2_200
 
 _log = logs.part("entry")
 
@@ -54,7 +57,8 @@
     signals.install(stopping)
     supervisor = supervision.Supervisor()
     supervisor.watch_loop()
-    desk = desks.Desk(time, options.far_factor)
+    warm_ms = time.now_ms() + _WARM_UP_MS
+    desk = desks.Desk(time, options.far_factor, warm_ms)
     store = adapter.record_store(options.store)
     own = (options.streams.listen.hostname, options.streams.listen.port)
     peers = entry_peers.Peers(own, options, identity, time, desk.fleet)
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -143,8 +143,7 @@
                 self._end(run, work.Outcome.REFUSED_FULL)
             elif not self.accepts:
                 self._end(run, work.Outcome.REFUSED_LEAVING)
-        # Without a list of what the worker runs its room isn't known.
-        if now_ms < self._blocked_until_ms or self._newest_list_ms == 0:
+        if now_ms < self._blocked_until_ms:
             return
         while (fitting := self.runs.next_fitting()) is not None:
             self.runs.begin(fitting)
@@ -387,7 +386,7 @@
         run_ms = now_ms - run.started_ms if run.started_ms else 0
         self.runs.remove(run, now_ms)
         if outcome is work.Outcome.DONE:
-            self.pace.learn(run.order.estimate_ms, run_ms)
+            self.pace.learn(run.order.estimate_ms, run.started_ms, run_ms)
         elif outcome is work.Outcome.FAILED:
             self.pace.fail()
         workermetrics.ended(outcome, run_ms)
@@ -408,7 +407,7 @@
         self._has_unacknowledged = True
         self._newest_list_ms = 0
         self._calls.forget_clock()
-        self.runs.strangers = frozenset()
+        self.runs.forget_list()
         self._wanted.set()
         self.pace = pace.Pace(self._clock)
 
--- a/packages/daemon/src/sardinerouted/worker/ledger.py
+++ b/packages/daemon/src/sardinerouted/worker/ledger.py
@@ -31,6 +31,7 @@
         ref: Its name.
         order: What the entry asked for.
         owner: The incarnation of that entry.
+        size: What it takes.
         phase: Where it stands.
         received_ms: When the order came.
         started_ms: When the worker confirmed the start.
@@ -48,12 +49,11 @@
     confirmed: bool = False
     stop_as: work.Outcome | None = None
     stopped_ms: int = 0
+    size: work.Size = dataclasses.field(init=False)
 
-    @property
-    def size(self) -> work.Size:
-        """Returns what it takes."""
+    def __post_init__(self) -> None:
         order = self.order
-        return work.Size(order.cpu_millicores, order.memory_mb, order.gpus)
+        self.size = work.Size(order.cpu_millicores, order.memory_mb, order.gpus)
 
 
 class Ledger:
@@ -61,12 +61,14 @@
 
     Attributes:
         capacity: The worker's room.
+        is_listed: Whether the worker has told what it runs.
         strangers: Runs that the worker lists and nobody here ordered; their
             size isn't known, so nothing starts beside them.
     """
 
     def __init__(self) -> None:
         self.capacity = work.Size()
+        self.is_listed = False
         self.strangers: frozenset[hosting.RunRef] = frozenset()
         self._used = work.Size()
         self._runs_by_task: dict[work.TaskId, Run] = {}
@@ -85,6 +87,11 @@
         """Returns the room that no run takes."""
         return self.capacity.minus(self._used)
 
+    @property
+    def is_blocked(self) -> bool:
+        """Returns whether nothing may start, as the room isn't known."""
+        return not self.is_listed or bool(self.strangers)
+
     def find(self, task: work.TaskId) -> Run | None:
         """Returns the run of a task."""
         return self._runs_by_task.get(task)
@@ -104,9 +111,7 @@
 
     def waiting(self) -> list[Run]:
         """Returns the runs that wait for room, in no order."""
-        return [
-            run for _, _, run in self._waiting if run.phase is Phase.WAITING
-        ]
+        return [run for run in self if run.phase is Phase.WAITING]
 
     def add(self, run: Run) -> None:
         """Lets a run wait for room."""
@@ -120,7 +125,7 @@
             if run.phase is not Phase.WAITING or not self.has(run.ref):
                 heapq.heappop(self._waiting)
                 continue
-            if self.strangers or not run.size.fits_in(self.free):
+            if self.is_blocked or not run.size.fits_in(self.free):
                 return None
             return run
         return None
@@ -136,10 +141,16 @@
         run.phase = Phase.WAITING
         self._wait(run)
 
+    def forget_list(self) -> None:
+        """Forgets what another life of the worker has told."""
+        self.is_listed = False
+        self.strangers = frozenset()
+
     def note_listed(
         self, running: frozenset[hosting.RunRef], now_ms: int
     ) -> None:
         """Takes note of the runs that the worker lists."""
+        self.is_listed = True
         for ref, ended_ms in list(self._ended_ms_by_ref.items()):
             if now_ms - ended_ms > _RECENT_MS:
                 del self._ended_ms_by_ref[ref]
--- a/packages/daemon/src/sardinerouted/worker/pace.py
+++ b/packages/daemon/src/sardinerouted/worker/pace.py
@@ -7,10 +7,12 @@
 # Runs that the learned slowness remembers; the estimates of a single run are
 # off by 40 %, so 12 of them leave about 12 %.
 _MEMORY_RUNS = 12
-# A run past this many times its expected length counts as stuck: two standard
-# deviations of the estimates.
+# A run past this many times its expected length counts as stuck: two to three
+# standard deviations of the estimates, and five where runs that started
+# later have ended, so that the worker works.
 _STUCK_RATIO = 2.6
-_STUCK_MIN_MS = 400
+_LONG_RATIO = 5.0
+_STUCK_MIN_MS = 300
 # Trouble halves in this time, so that a worker is tried again.
 _TROUBLE_HALF_MS = 1_500
 _MAX_TROUBLE = 8.0
@@ -24,6 +26,8 @@
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
         self._log_ratio = 0.0
+        self._slowness = 1.0
+        self._newest_done_start_ms = 0
         self._weight = 0.0
         self._trouble = 0.0
         self._trouble_ms = time.now_ms()
@@ -31,16 +35,18 @@
     @property
     def slowness(self) -> float:
         """Returns the expected run time over the estimate."""
-        return math.exp(self._log_ratio)
+        return self._slowness
 
-    def learn(self, estimate_ms: int, run_ms: int) -> None:
+    def learn(self, estimate_ms: int, started_ms: int, run_ms: int) -> None:
         """Takes note of a run that ended well."""
+        self._newest_done_start_ms = max(self._newest_done_start_ms, started_ms)
         if estimate_ms <= 0:
             return
         ratio = min(max(run_ms / estimate_ms, _MIN_RATIO), _MAX_RATIO)
         self._weight = min(self._weight + 1.0, _MEMORY_RUNS)
         error = math.log(ratio) - self._log_ratio
         self._log_ratio += error / (self._weight + 1.0)
+        self._slowness = math.exp(self._log_ratio)
         self._set_trouble(max(0.0, self.trouble() - 2.0))
 
     def fail(self) -> None:
@@ -52,10 +58,13 @@
         elapsed_ms = self._clock.now_ms() - self._trouble_ms
         return float(self._trouble * 0.5 ** (elapsed_ms / _TROUBLE_HALF_MS))
 
-    def is_stuck(self, estimate_ms: int, elapsed_ms: int) -> bool:
+    def is_stuck(self, estimate_ms: int, started_ms: int, now_ms: int) -> bool:
         """Returns whether a run takes far longer than expected."""
-        expected_ms = max(estimate_ms * self.slowness, 1.0)
-        return elapsed_ms > max(_STUCK_RATIO * expected_ms, _STUCK_MIN_MS)
+        ratio = _STUCK_RATIO
+        if started_ms < self._newest_done_start_ms:
+            ratio = _LONG_RATIO
+        limit_ms = ratio * estimate_ms * self._slowness
+        return now_ms - started_ms > max(limit_ms, _STUCK_MIN_MS)
 
     def _set_trouble(self, trouble: float) -> None:
         self._trouble = trouble
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -34,11 +34,12 @@
 class Entry:
     """An entry that sidecars can dial."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, warm_up_ms: int = 0) -> None:
         self.identity = streams.Identity(
             f"entry-{number}", messages.Role.ENTRY, f"life-{number}"
         )
-        self.desk = desks.Desk(clock.Clock())
+        warm_ms = clock.Clock().now_ms() + warm_up_ms
+        self.desk = desks.Desk(clock.Clock(), warm_ms=warm_ms)
         self.address = ("127.0.0.1", 0)
         self.connections: list[streams.Connection] = []
         self._frozen = False
@@ -105,10 +106,10 @@
         self.sidecars: list[stations.Stations] = []
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self, entries: int) -> None:
+    async def start(self, entries: int, warm_up_ms: int) -> None:
         """Starts entries, then a sidecar for each worker."""
         for number in range(entries):
-            entry = Entry(number)
+            entry = Entry(number, warm_up_ms)
             await entry.start()
             self.entries.append(entry)
         for number in range(len(self.workers)):
@@ -182,11 +183,11 @@
 
 @contextlib.asynccontextmanager
 async def fleet(
-    entries: int, workers: list[fakeworker.FakeWorker]
+    entries: int, workers: list[fakeworker.FakeWorker], warm_up_ms: int = 0
 ) -> AsyncIterator[Rig]:
     """Runs a fleet with a sidecar for each worker."""
     rig = Rig(workers)
-    await rig.start(entries)
+    await rig.start(entries, warm_up_ms)
     try:
         yield rig
     finally:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -190,6 +190,21 @@
     asyncio.run(main())
 
 
+def test_fresh_entry_holds_a_job_until_workers_have_appeared() -> None:
+    async def main() -> None:
+        worker = fakeworker.FakeWorker()
+        async with hostedrig.fleet(1, [], warm_up_ms=2_000) as rig:
+            waiting = asyncio.create_task(
+                rig.entries[0].submit("job", estimate_ms=200)
+            )
+            await asyncio.sleep(0.3)
+            rig.workers.append(worker)
+            rig.add_sidecar(0)
+            assert await waiting == "completed"
+
+    asyncio.run(main())
+
+
 def test_steps_run_after_those_they_name() -> None:
     async def main() -> None:
         worker = fakeworker.FakeWorker()
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -253,6 +253,23 @@
     run(test, worker)
 
 
+def test_handed_back_run_is_told_once_behind_a_more_urgent_one() -> None:
+    worker = fakeworker.FakeWorker(run_ms=400)
+
+    async def test(rig: Rig) -> None:
+        rig.take("big", cpu_millicores=4_000)
+        now_ms = rig.clock.now_ms()
+        rig.take("urgent", rank=now_ms)
+        rig.take("next", start_by_ms=now_ms + 20)
+        await asyncio.sleep(0.05)
+        for _ in range(3):
+            rig.executor.pump()
+        assert rig.ends == [("next", 1, work.Outcome.REFUSED_FULL)]
+        await rig.until(lambda: "urgent" in rig.outcomes())
+
+    run(test, worker)
+
+
 def test_task_of_another_entry_is_stopped_before_it_runs_again() -> None:
     worker = fakeworker.FakeWorker(run_ms=5_000)
 
