--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -9,7 +9,8 @@
 
     Times are in the sidecar's clock: the run must have started by
     `start_by_ms`, and `lease_ms` renews the sender's lease. Of those that
-    wait for room, the one with the lowest `rank` goes first.
+    wait for room, the one with the lowest `rank` goes first. A run that may
+    not wait is handed back where there is no room at once.
     """
 
     worker: str
@@ -24,6 +25,7 @@
     gpus: int
     estimate_ms: int
     rank: int
+    may_wait: bool
     start_by_ms: int
     lease_ms: int
     traceparent: str
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -23,6 +23,9 @@
 
 # Past its objective a job is still worth finishing up to three times it.
 _LATE_RATIO = 3.0
+# A task that found no room where it was expected so often waits in the end:
+# the loads that this entry knows are then older than the room lasts.
+_MAX_RETURNS = 3
 # A start that has waited for so much longer than expected comes back.
 _START_SLACK_MS = 120
 _CHECK_MS = 50
@@ -86,6 +89,11 @@
 
     async def cancel(self, job_id: str) -> None:
         """Ends a job, also one at another entry."""
+        _log.info(
+            "A job is to be cancelled.",
+            job=job_id,
+            known_here=job_id in self._jobs_by_id,
+        )
         self._take_cancel(job_id)
         self.fleet.broadcast(runmessages.CancelJob(job_id))
 
@@ -252,6 +260,9 @@
                 gpus=size.gpus,
                 estimate_ms=int(task.estimate_ms * choice.distance),
                 rank=sidecar.to_sidecar_ms(latest_ms),
+                may_wait=(
+                    choice.start_in_ms > 0 or task.returns >= _MAX_RETURNS
+                ),
                 start_by_ms=sidecar.to_sidecar_ms(start_by_ms),
                 lease_ms=sidecar.lease_until_ms(),
                 traceparent="",
@@ -294,7 +305,9 @@
                 _BUSY_RETRY_MS / 1_000, self._place_queued, job
             )
             return
-        elif outcome is not work.Outcome.REFUSED_FULL:
+        elif outcome is work.Outcome.REFUSED_FULL:
+            task.returns += 1
+        else:
             task.avoided |= {sidecar.id}
         self._retry(task, outcome)
 
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -51,6 +51,7 @@
         placed_ms: When it was sent.
         start_in_ms: How long it was expected to wait for its start then.
         retries: Times that it was sent again.
+        returns: Times that it came back for want of room.
     """
 
     id: work.TaskId
@@ -67,6 +68,7 @@
     placed_ms: int = 0
     start_in_ms: float = 0.0
     retries: int = 0
+    returns: int = 0
 
 
 class Job:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -122,6 +122,8 @@
         else:
             self.runs.add(run)
             self.pump()
+            if run.phase is ledger.Phase.WAITING and not order.may_wait:
+                self._end(run, work.Outcome.REFUSED_FULL)
 
     def stop(self, run: ledger.Run, outcome: work.Outcome) -> None:
         """Ends a run; a stop that the worker doesn't confirm is repeated."""
--- a/tests/fakeworker.py
+++ b/tests/fakeworker.py
@@ -191,6 +191,7 @@
         gpus=0,
         estimate_ms=50,
         rank=now_ms + 500,
+        may_wait=True,
         start_by_ms=now_ms + 2_000,
         lease_ms=now_ms + 600,
         traceparent="",
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,6 +1,7 @@
 """The translation of the platform's messages, good and bad ones."""
 
 import json
+import types
 from typing import Any
 
 import pytest
@@ -16,6 +17,7 @@
 from sardineroute_platform import operator
 from sardineroute_platform import orders
 from sardineroute_platform import store
+from sardinerouted.web import requests
 
 ROUTE = {
     "name": "r-1",
@@ -171,6 +173,39 @@
         callers.decode("0" * 16, json.dumps({**JOB, **change}).encode(), 1)
 
 
+def test_refused_request_is_logged_with_its_id(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[dict[str, Any]] = []
+    log = types.SimpleNamespace(info=lambda event, **row: lines.append(row))
+    monkeypatch.setattr(callers, "_log", log)
+    desk = types.SimpleNamespace(routing_table=None)
+    handler = callers.Callers(desk, handover=None)  # type: ignore[arg-type]
+    request = requests.Request(
+        {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/a/0123456789abcdef",
+            "HTTP_HOST": "a.example",
+        }
+    )
+    with pytest.raises(errors.Error, match="no configuration"):
+        handler.handle(request)
+    desk.routing_table = operator.decode(json.dumps(CONFIGURATION).encode())
+    request = requests.Request(
+        {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/b/0123456789abcdef",
+            "HTTP_HOST": "a.example",
+        }
+    )
+    with pytest.raises(errors.Error, match="no such queue"):
+        handler.handle(request)
+    assert [(row["job"], row["configuration"]) for row in lines] == [
+        ("0123456789abcdef", 0),
+        ("0123456789abcdef", 7),
+    ]
+
+
 def test_task_names_are_told_apart() -> None:
     task = work.TaskId("5c0e7a21d94b36f8", 1, 17)
     assert orders.decode_task(orders.encode_task(task)) == task
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -253,6 +253,22 @@
     run(test, worker)
 
 
+def test_run_that_may_not_wait_is_handed_back_at_once() -> None:
+    worker = fakeworker.FakeWorker(run_ms=400)
+
+    async def test(rig: Rig) -> None:
+        await rig.until(lambda: rig.executor.runs.is_listed)
+        rig.take("first", may_wait=False, cpu_millicores=3_000)
+        await rig.until(lambda: bool(rig.worker.running))
+        rig.take("fits", may_wait=False)
+        rig.take("next", may_wait=False)
+        assert rig.ends == [("next", 1, work.Outcome.REFUSED_FULL)]
+        await rig.until(lambda: len(rig.ends) == 3)
+        assert len(rig.worker.starts) == 2
+
+    run(test, worker)
+
+
 def test_handed_back_run_is_told_once_behind_a_more_urgent_one() -> None:
     worker = fakeworker.FakeWorker(run_ms=400)
 
