Trace hosted jobs: a span for the job, each task, its time at the sidecar and the order to the worker

Before, a hosted job had one span for its admission, and starts carried no traceparent. Test: test_hosted -k each_hop, with real processes; not run against the earlier code.

--- a/packages/core/src/sardineroute_core/work.py
+++ b/packages/core/src/sardineroute_core/work.py
@@ -94,12 +94,14 @@
         payload: Text that each task gets.
         steps: The tasks.
         wait_ms: How long the caller waits.
+        traceparent: The caller's span, as W3C Trace Context writes it.
     """
 
     id: str
     payload: str
     steps: tuple[Step, ...]
     wait_ms: int
+    traceparent: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -116,9 +116,7 @@
         if job is None:
             job = self._new_job(request, queue, now_ms)
             self._jobs_by_id[request.id] = job
-            about: traces.Attributes = {"job": request.id, "queue": queue.name}
-            with traces.span("job", "", about):
-                self._admit(job)
+            self._admit(job)
         job.callers.append(caller)
         try:
             await self._await_end(job, caller)
@@ -241,6 +239,9 @@
         task.distance = choice.distance
         task.placed_ms = now_ms
         task.start_in_ms = choice.start_in_ms
+        task.span = traces.begin(
+            "task", job.span.traceparent, {"task": task.id.index}
+        )
         job.may_have_run = True
         job.placed_at.add(sidecar.id)
         job.load_age_ms = max(job.load_age_ms, sidecar.report_age_ms)
@@ -265,7 +266,7 @@
                 ),
                 start_by_ms=sidecar.to_sidecar_ms(start_by_ms),
                 lease_ms=sidecar.lease_until_ms(),
-                traceparent="",
+                traceparent=task.span.traceparent,
             ),
         )
 
@@ -278,7 +279,9 @@
     ) -> None:
         """Takes the end of a run from a sidecar."""
         job = task.job
-        if outcome is work.Outcome.DONE:
+        done = outcome is work.Outcome.DONE
+        task.span.end("" if done else outcome.name.lower())
+        if done:
             usual_ms = run_ms / (sidecar.slowness * task.distance)
             self._estimates.learn(
                 job.queue.name, task.step.estimate_ms, usual_ms
@@ -286,7 +289,7 @@
             job.learn(task, usual_ms)
         if job.is_over:
             return
-        if outcome is work.Outcome.DONE:
+        if done:
             if job.complete(task):
                 self._place_queued(job)
             if job.is_over:
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -7,6 +7,7 @@
 
 from sardineroute_core import errors
 from sardineroute_core import routing
+from sardineroute_core import traces
 from sardineroute_core import work
 
 
@@ -52,6 +53,7 @@
         start_in_ms: How long it was expected to wait for its start then.
         retries: Times that it was sent again.
         returns: Times that it came back for want of room.
+        span: From its start message to its end.
     """
 
     id: work.TaskId
@@ -69,6 +71,7 @@
     start_in_ms: float = 0.0
     retries: int = 0
     returns: int = 0
+    span: traces.Span = traces.NONE
 
 
 class Job:
@@ -93,6 +96,7 @@
         callers: Connections of the callers that wait for it.
         placed_at: Sidecars that its tasks were sent to, for the log.
         load_age_ms: Age of the oldest load report that placed a task.
+        span: From its arrival to its end.
         ended: Completes when the job is over.
     """
 
@@ -124,6 +128,7 @@
         )
         self.placed_at: set[str] = set()
         self.load_age_ms = 0
+        self.span = traces.begin("run job", request.traceparent)
         self.callers: list[socket.socket | None] = []
         self.ended: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
@@ -182,6 +187,7 @@
             return
         self.state = state
         self.error = error
+        self.span.end(error.detail if error else "")
         if not self.ended.done():
             self.ended.set_result(None)
 
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -8,6 +8,7 @@
 from sardineroute_core import hosting
 from sardineroute_core import logs
 from sardineroute_core import runmessages
+from sardineroute_core import traces
 from sardineroute_core import work
 from sardinerouted.worker import calls
 from sardinerouted.worker import ledger
@@ -220,7 +221,8 @@
             self._end(run, work.Outcome.REFUSED_LATE)
             return
         try:
-            reply = await self._calls.start(worker.id, run)
+            with traces.span("call worker", run.span.traceparent):
+                reply = await self._calls.start(worker.id, run)
         except hosting.Unanswered as error:
             self._doubt(run, str(error))
             return
@@ -387,7 +389,9 @@
         now_ms = self._clock.now_ms()
         run_ms = now_ms - run.started_ms if run.started_ms else 0
         self.runs.remove(run, now_ms)
-        if outcome is work.Outcome.DONE:
+        done = outcome is work.Outcome.DONE
+        run.span.end("" if done else outcome.name.lower())
+        if done:
             self.pace.learn(run.order.estimate_ms, run.started_ms, run_ms)
         elif outcome is work.Outcome.FAILED:
             self.pace.fail()
--- a/packages/daemon/src/sardinerouted/worker/ledger.py
+++ b/packages/daemon/src/sardinerouted/worker/ledger.py
@@ -8,6 +8,7 @@
 
 from sardineroute_core import hosting
 from sardineroute_core import runmessages
+from sardineroute_core import traces
 from sardineroute_core import work
 
 # A run that ended so recently may still be listed by an older answer.
@@ -32,6 +33,7 @@
         order: What the entry asked for.
         owner: The incarnation of that entry.
         size: What it takes.
+        span: From its arrival to its end.
         phase: Where it stands.
         received_ms: When the order came.
         started_ms: When the worker confirmed the start.
@@ -50,9 +52,11 @@
     stop_as: work.Outcome | None = None
     stopped_ms: int = 0
     size: work.Size = dataclasses.field(init=False)
+    span: traces.Span = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         order = self.order
+        self.span = traces.begin("sidecar", order.traceparent)
         self.size = work.Size(order.cpu_millicores, order.memory_mb, order.gpus)
 
 
--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -120,6 +120,14 @@
         """Returns what a process has printed."""
         return (self._folder / f"{name}.out").read_text()
 
+    def spans(self) -> list[dict[str, Any]]:
+        """Returns the spans that the processes have written."""
+        return [
+            json.loads(line)
+            for path in self._folder.glob("*.spans")
+            for line in path.read_text().splitlines()
+        ]
+
     def until(self, holds: Callable[[], bool]) -> None:
         """Waits until a condition holds."""
         end_s = time.monotonic() + _READY_S
@@ -152,13 +160,19 @@
             url += f"/v1/instances/w-{name}/heartbeat"
             _status("POST", url, json.dumps(body).encode())
 
-    def submit(self, job_id: str, job: Any) -> urllib3.BaseHTTPResponse:
+    def submit(
+        self, job_id: str, job: Any, traceparent: str = ""
+    ) -> urllib3.BaseHTTPResponse:
         """Returns the answer to a job at the first entry."""
         return urllib3.request(
             "POST",
             f"{self.front(0)}/a/{job_id}",
             body=json.dumps(job).encode(),
-            headers={"Host": HOST, "Deadline-Ms": "4000"},
+            headers={
+                "Host": HOST,
+                "Deadline-Ms": "4000",
+                "traceparent": traceparent,
+            },
             retries=False,
         )
 
@@ -180,6 +194,10 @@
             "seed_port": 1,
             "metrics": self.address(name, "metrics"),
             "logging": {"format": "json"},
+            "traces": {
+                "exporter": "file",
+                "file": str(self._folder / f"{name}.spans"),
+            },
             "drain_timeout_ms": 3_000,
         }
         if name in self._entries:
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -151,6 +151,29 @@
     assert hosted.output("sidecar-0").count(JOB_ID) == 3
 
 
+def test_each_hop_of_a_job_has_a_span_under_its_caller_s(
+    hosted: hostedprocesses.Fleet,
+) -> None:
+    trace_id = "0af7651916cd43dd8448eb211c80319c"
+    hosted.submit(JOB_ID, job(2), f"00-{trace_id}-b7ad6b7169203331-01")
+    hosted.until(lambda: len(hosted.spans()) >= 7)
+    spans_by_id = {span["span_id"]: span for span in hosted.spans()}
+    edges = []
+    for span in spans_by_id.values():
+        assert span["trace_id"] == trace_id
+        parent = spans_by_id.get(span["parent_id"], {"name": "caller"})
+        edges.append((parent["name"], span["name"]))
+    assert sorted(edges) == [
+        ("caller", "run job"),
+        ("run job", "task"),
+        ("run job", "task"),
+        ("sidecar", "call worker"),
+        ("sidecar", "call worker"),
+        ("task", "sidecar"),
+        ("task", "sidecar"),
+    ]
+
+
 def test_refusals_and_unknown_paths_have_clear_answers(
     hosted: hostedprocesses.Fleet,
 ) -> None:
