Listen for callers once a configuration is known; run late tasks after those that can be on time

It now listens once it has one, or after a second without. In bursts, tasks that could not be on time any more went first at their worker (earliest latest start), and made those behind them late. They now go last. Tests: test_hosted -k first_configuration (fails before), test_load -k late_already.

--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -8,9 +8,10 @@
     """Asks a sidecar to start a run of a task at this life of its worker.
 
     Times are in the sidecar's clock: the run must have started by
-    `start_by_ms`, and `lease_ms` renews the sender's lease. Of those that
-    wait for room, the one with the lowest `rank` goes first. A run that may
-    not wait is handed back where there is no room at once.
+    `start_by_ms`, and `lease_ms` renews the sender's lease. `rank` is the
+    latest start with which its job is on time: of those that wait for room,
+    the earliest goes first, but those past it go last. A run that may not
+    wait is handed back where there is no room at once.
     """
 
     worker: str
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -38,6 +38,10 @@
 # Sidecars that start with an entry are all known after so long: a start, and
 # the time between two heartbeats of a worker.
 _WARM_UP_MS = 2_200
+# Callers that connect before the first configuration is known are refused
+# for good, so that the entry listens once it has one. The store or a peer
+# mostly gives it in some 20 ms; without both, callers are told.
+_FIRST_TABLE_MS = 1_000
 
 _log = logs.part("entry")
 
@@ -63,8 +67,11 @@
     own = (options.streams.listen.hostname, options.streams.listen.port)
     peers = entry_peers.Peers(own, options, identity, time, desk.fleet)
 
+    has_table = asyncio.Event()
+
     def apply(table: routing.Table) -> None:
         desk.routing_table = table
+        has_table.set()
         peers.tell_version(table)
 
     source = table_source.TableSource(store, adapter.routing_table, time, apply)
@@ -93,8 +100,14 @@
             and desk.fleet.usable_count() > 0
         )
 
+    await _await_first_table(has_table)
     _serve_http(options, adapter, desk, identity, is_ready)
-    _log.info("Serving.", id=options.id, incarnation=identity.incarnation)
+    _log.info(
+        "Serving.",
+        id=options.id,
+        incarnation=identity.incarnation,
+        configuration=source.version,
+    )
     await signals.first_set(stopping, supervisor.failed)
     if supervisor.failed.is_set():
         return errors.EXIT_FAILED
@@ -104,6 +117,14 @@
     return 0
 
 
+async def _await_first_table(has_table: asyncio.Event) -> None:
+    try:
+        async with asyncio.timeout(_FIRST_TABLE_MS / 1_000):
+            await has_table.wait()
+    except TimeoutError:
+        _log.warning("No configuration is known yet; jobs are refused.")
+
+
 def _serve_http(
     options: settings.HostedEntry,
     adapter: hosting.Adapter,
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -148,7 +148,7 @@
                 self._end(run, work.Outcome.REFUSED_LEAVING)
         if now_ms < self._blocked_until_ms:
             return
-        while (fitting := self.runs.next_fitting()) is not None:
+        while (fitting := self.runs.next_fitting(now_ms)) is not None:
             self.runs.begin(fitting)
             self._began.set()
             self._wanted.set()
--- a/packages/daemon/src/sardinerouted/worker/ledger.py
+++ b/packages/daemon/src/sardinerouted/worker/ledger.py
@@ -77,6 +77,7 @@
         self._used = work.Size()
         self._runs_by_task: dict[work.TaskId, Run] = {}
         self._waiting: list[tuple[int, int, Run]] = []
+        self._overdue: list[tuple[int, int, Run]] = []
         self._order = itertools.count()
         self._ended_ms_by_ref: dict[hosting.RunRef, int] = {}
 
@@ -122,17 +123,16 @@
         self._runs_by_task[run.ref.task] = run
         self._wait(run)
 
-    def next_fitting(self) -> Run | None:
-        """Returns the most urgent waiting run if it fits, else None."""
-        while self._waiting:
-            run = self._waiting[0][2]
-            if run.phase is not Phase.WAITING or not self.has(run.ref):
-                heapq.heappop(self._waiting)
-                continue
-            if self.is_blocked or not run.size.fits_in(self.free):
-                return None
-            return run
-        return None
+    def next_fitting(self, now_ms: int) -> Run | None:
+        """Returns the most urgent waiting run if it fits, else None.
+
+        A run that can't be on time any more goes after all that can: taken
+        first, it would make those late too.
+        """
+        run = self._most_urgent(now_ms)
+        if run is None or self.is_blocked or not run.size.fits_in(self.free):
+            return None
+        return run
 
     def begin(self, run: Run) -> None:
         """Takes room for a run that is about to be ordered."""
@@ -174,5 +174,23 @@
         if run.confirmed:
             self._ended_ms_by_ref[run.ref] = now_ms
 
+    def _most_urgent(self, now_ms: int) -> Run | None:
+        while self._waiting:
+            rank, _, run = self._waiting[0]
+            if self._is_waiting(run):
+                if rank >= now_ms:
+                    return run
+                heapq.heappush(self._overdue, self._waiting[0])
+            heapq.heappop(self._waiting)
+        while self._overdue:
+            run = self._overdue[0][2]
+            if self._is_waiting(run):
+                return run
+            heapq.heappop(self._overdue)
+        return None
+
+    def _is_waiting(self, run: Run) -> bool:
+        return run.phase is Phase.WAITING and self.has(run.ref)
+
     def _wait(self, run: Run) -> None:
         heapq.heappush(self._waiting, (run.order.rank, next(self._order), run))
--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -23,6 +23,7 @@
         partitions: Records of each topic: key, value.
         first: The oldest offset that a topic still has.
         status: Status of all answers while set.
+        refused_reads: So many reads of the store are refused.
         silent: Whether calls get no answer.
         orders: Bodies of the orders to the worker, with path.
         order_reply: Status and body of the answer to an order.
@@ -33,6 +34,7 @@
         self.partitions: dict[str, list[tuple[str, bytes]]] = {}
         self.first: dict[str, int] = {}
         self.status = 0
+        self.refused_reads = 0
         self.silent = False
         self.orders: list[tuple[str, dict[str, Any], str]] = []
         self.order_reply: tuple[int, Any] = (200, {"clockMs": 5})
@@ -56,6 +58,10 @@
             pass
 
         def do_GET(self) -> None:
+            if platform.refused_reads:
+                platform.refused_reads -= 1
+                self._answer(503, b"")
+                return
             self._answer(*_store_get(platform, self.path))
 
         def do_POST(self) -> None:
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -174,6 +174,24 @@
     ]
 
 
+def test_entry_takes_no_connection_before_its_first_configuration(
+    tmp_path: pathlib.Path, worker: fakeworker.FakeWorker
+) -> None:
+    with platformserver.serve() as store:
+        fleet = hostedprocesses.Fleet(store, tmp_path, 1, [worker])
+        store.refused_reads = 4
+        record = hostedprocesses.configuration(3)
+        store.append("keyed.op", "config", record)
+        try:
+            fleet.revive("entry-0")
+            fleet.until(lambda: "Serving." in fleet.output("entry-0"))
+            assert fleet.submit(JOB_ID, job()).json()["detail"] != (
+                "no configuration is known yet"
+            )
+        finally:
+            fleet.close()
+
+
 def test_refusals_and_unknown_paths_have_clear_answers(
     hosted: hostedprocesses.Fleet,
 ) -> None:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -84,3 +84,13 @@
     assert rig.report().trouble == 0
     rig.add("longer", started_ms=NOW_MS - 1_100)
     assert rig.report().trouble == 1
+
+
+def test_run_that_is_late_already_goes_after_those_that_are_not() -> None:
+    rig = Rig()
+    late = rig.add("late", rank=NOW_MS - 1)
+    urgent = rig.add("urgent", rank=NOW_MS + 10)
+    rig.add("later", rank=NOW_MS + 20)
+    assert rig.runs.next_fitting(NOW_MS) is urgent
+    rig.runs.remove(urgent, NOW_MS)
+    assert rig.runs.next_fitting(NOW_MS + 30) is late
