Group the modules of an entry by what a reader looks for

45 modules in one folder became eight packages: callers, administration, jobs, placement, sharing, fleet, ownership, recovery. No change of behaviour; hosted processes use none of them.

--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -22,8 +22,8 @@
 from sardineroute_standins import configure
 from sardineroute_standins import fleet as fleet_module
 from sardineroute_standins import layout
-from sardinerouted.entry import jobs
-from sardinerouted.entry import witness
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.recovery import witness
 from sardinerouted.sidecar import guard
 
 LOAD_S = 8.0
--- a/lab/choicecost.py
+++ b/lab/choicecost.py
@@ -10,10 +10,10 @@
 from sardineroute_core import messages
 from sardineroute_core import streams
 from sardinerouted import membership
-from sardinerouted.entry import backends
-from sardinerouted.entry import choice
-from sardinerouted.entry import health
-from sardinerouted.entry import speeds
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import choice
+from sardinerouted.entry.placement import health
+from sardinerouted.entry.placement import speeds
 
 KIND = "receipt.issue"
 SERVERS = 700
--- a/lab/front.py
+++ b/lab/front.py
@@ -25,8 +25,8 @@
 from sardineroute_core import policy
 from sardineroute_core import settings
 from sardineroute_standins import ports as ports_module
-from sardinerouted.entry import job_handlers
-from sardinerouted.entry import parsing
+from sardinerouted.entry.callers import job_handlers
+from sardinerouted.entry.callers import parsing
 from sardinerouted.web import app as web_app
 from sardinerouted.web import exchanges
 from sardinerouted.web import options as web_options
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/administration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators reach at an entry: configuration, fleet and drains."""
--- a/packages/daemon/src/sardinerouted/entry/admin_commands.py
+++ b/packages/daemon/src/sardinerouted/entry/administration/admin_commands.py
@@ -9,9 +9,9 @@
 from sardineroute_core import platformlog
 from sardineroute_core import publication
 from sardineroute_core import streams
-from sardinerouted.entry import publisher
-from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.fleet import publisher
+from sardinerouted.entry.fleet import seeds
 
 _ROUNDS = 2
 
--- a/packages/daemon/src/sardinerouted/entry/admin_handlers.py
+++ b/packages/daemon/src/sardinerouted/entry/administration/admin_handlers.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from sardineroute_core import errors
-from sardinerouted.entry import admin_commands
-from sardinerouted.entry import admin_queries
-from sardinerouted.entry import auth
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.administration import admin_commands
+from sardinerouted.entry.administration import admin_queries
+from sardinerouted.entry.callers import auth
 from sardinerouted.web import exchanges
 from sardinerouted.web import requests
 from sardinerouted.web import responses
--- a/packages/daemon/src/sardinerouted/entry/admin_queries.py
+++ b/packages/daemon/src/sardinerouted/entry/administration/admin_queries.py
@@ -8,9 +8,9 @@
 from sardineroute_core import publication
 from sardineroute_core import streams
 from sardinerouted import membership
-from sardinerouted.entry import backends
-from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.fleet import seeds
+from sardinerouted.entry.placement import backends
 
 # No version is newer, so that the answer leaves the snapshot out.
 _NO_SNAPSHOT = 1 << 62
--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -9,22 +9,22 @@
 from sardineroute_core import streams
 from sardineroute_core import takeover
 from sardinerouted import membership
-from sardinerouted.entry import admission
-from sardinerouted.entry import backends
-from sardinerouted.entry import configuration
-from sardinerouted.entry import dispatch
-from sardinerouted.entry import home
-from sardinerouted.entry import jobs
-from sardinerouted.entry import keeper
-from sardinerouted.entry import kept
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import ownership
-from sardinerouted.entry import peers
-from sardinerouted.entry import questions
-from sardinerouted.entry import recovery
 from sardinerouted.entry import state as entry_state
-from sardinerouted.entry import witness
+from sardinerouted.entry.fleet import configuration
+from sardinerouted.entry.fleet import peers
+from sardinerouted.entry.jobs import home
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.jobs import kept
+from sardinerouted.entry.ownership import keeper
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import ownership
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import dispatch
+from sardinerouted.entry.recovery import questions
+from sardinerouted.entry.recovery import recovery
+from sardinerouted.entry.recovery import witness
+from sardinerouted.entry.sharing import admission
 
 _BEYOND_END = 2**53
 
--- a/packages/daemon/src/sardinerouted/entry/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/commands.py
@@ -8,12 +8,12 @@
 from sardineroute_core import messages
 from sardineroute_core import takeover
 from sardineroute_core import traces
-from sardinerouted.entry import home
-from sardinerouted.entry import jobs
-from sardinerouted.entry import loadmetrics
-from sardinerouted.entry import recovery
-from sardinerouted.entry import routing
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.callers import routing
+from sardinerouted.entry.jobs import home
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.placement import loadmetrics
+from sardinerouted.entry.recovery import recovery
 
 
 async def submit(
--- a/packages/daemon/src/sardinerouted/entry/front.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/front.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from sardinerouted.entry import admin_handlers
-from sardinerouted.entry import auth
-from sardinerouted.entry import job_handlers
-from sardinerouted.entry import queries
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.administration import admin_handlers
+from sardinerouted.entry.callers import auth
+from sardinerouted.entry.callers import job_handlers
+from sardinerouted.entry.callers import queries
 from sardinerouted.web import app
 from sardinerouted.web import exchanges
 from sardinerouted.web import health
--- a/packages/daemon/src/sardinerouted/entry/job_handlers.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/job_handlers.py
@@ -8,13 +8,13 @@
 from sardineroute_core import errors
 from sardineroute_core import messages
 from sardineroute_core import traces
-from sardinerouted.entry import auth
-from sardinerouted.entry import commands
-from sardinerouted.entry import jobmetrics
-from sardinerouted.entry import jobs
-from sardinerouted.entry import parsing
-from sardinerouted.entry import queries
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.callers import auth
+from sardinerouted.entry.callers import commands
+from sardinerouted.entry.callers import jobmetrics
+from sardinerouted.entry.callers import parsing
+from sardinerouted.entry.callers import queries
+from sardinerouted.entry.jobs import jobs
 from sardinerouted.web import exchanges
 from sardinerouted.web import requests
 from sardinerouted.web import responses
--- a/packages/daemon/src/sardinerouted/entry/jobmetrics.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/jobmetrics.py
@@ -4,7 +4,7 @@
 
 from sardineroute_core import errors
 from sardineroute_core import messages
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
 
 _COMPLETE = "complete"
 _OTHER = "other"
--- a/packages/daemon/src/sardinerouted/entry/parsing.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/parsing.py
@@ -7,7 +7,7 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import policy
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
 from sardinerouted.web import requests
 
 MAX_TASKS = 1_700
--- a/packages/daemon/src/sardinerouted/entry/queries.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/queries.py
@@ -3,10 +3,10 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import messages
-from sardinerouted.entry import commands
-from sardinerouted.entry import jobs
-from sardinerouted.entry import routing
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.callers import commands
+from sardinerouted.entry.callers import routing
+from sardinerouted.entry.jobs import jobs
 
 
 async def show(
--- a/packages/daemon/src/sardinerouted/entry/routing.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/routing.py
@@ -10,9 +10,9 @@
 from sardineroute_core import messages
 from sardineroute_core import streams
 from sardineroute_core import traces
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import peers
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.fleet import peers
+from sardinerouted.entry.ownership import leasefold
 
 _RETRY_MS = 100
 _OWNER_WAIT_LEASES = 3
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The other processes, and the configuration that all have in force."""
--- a/packages/daemon/src/sardinerouted/entry/calls.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/calls.py
@@ -8,11 +8,11 @@
 from sardineroute_core import messages
 from sardineroute_core import streams
 from sardineroute_core import takeover
-from sardinerouted.entry import commands
-from sardinerouted.entry import jobs
-from sardinerouted.entry import queries
-from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.callers import commands
+from sardinerouted.entry.callers import queries
+from sardinerouted.entry.fleet import seeds
+from sardinerouted.entry.jobs import jobs
 
 
 async def answer(
--- a/packages/daemon/src/sardinerouted/entry/distribution.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/distribution.py
@@ -6,8 +6,8 @@
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import policy
-from sardinerouted.entry import backends
-from sardinerouted.entry import configuration
+from sardinerouted.entry.fleet import configuration
+from sardinerouted.entry.placement import backends
 
 _CHECK_MS = 250
 _BATCH = 100
--- a/packages/daemon/src/sardinerouted/entry/peers.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/peers.py
@@ -11,7 +11,7 @@
 from sardineroute_core import messages
 from sardineroute_core import settings
 from sardineroute_core import streams
-from sardinerouted.entry import leaserecords
+from sardinerouted.entry.ownership import leaserecords
 
 _FORGET_AFTER = 1_024
 
--- a/packages/daemon/src/sardinerouted/entry/publisher.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/publisher.py
@@ -11,7 +11,7 @@
 from sardineroute_core import logs
 from sardineroute_core import platformlog
 from sardineroute_core import publication
-from sardinerouted.entry import configuration
+from sardinerouted.entry.fleet import configuration
 
 _READ_BACK_MS = 500
 _SNAPSHOTS_PER_RETENTION = 4
--- a/packages/daemon/src/sardinerouted/entry/roster.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/roster.py
@@ -11,9 +11,9 @@
 from sardineroute_core import messages
 from sardineroute_core import platformlog
 from sardinerouted import membership
-from sardinerouted.entry import backends
-from sardinerouted.entry import links
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import links
 
 # A read that took longer was an outage of the log.
 _READ_GAP_MS = platformlog.LONG_POLL_MS + 1_000
--- a/packages/daemon/src/sardinerouted/entry/seeds.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/seeds.py
@@ -16,9 +16,9 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardinerouted import membership
-from sardinerouted.entry import configuration
-from sardinerouted.entry import roster
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.fleet import configuration
+from sardinerouted.entry.fleet import roster
 
 _PERIOD_MS = 1_000
 
--- a/packages/daemon/src/sardinerouted/entry/home.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs/home.py
@@ -5,10 +5,10 @@
 from sardineroute_core import errors
 from sardineroute_core import logs
 from sardineroute_core import takeover
-from sardinerouted.entry import jobs
-from sardinerouted.entry import ownership
-from sardinerouted.entry import recovery
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.ownership import ownership
+from sardinerouted.entry.recovery import recovery
 
 _log = logs.part("home")
 
--- a/packages/daemon/src/sardinerouted/entry/kept.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs/kept.py
@@ -3,7 +3,7 @@
 import collections
 
 from sardineroute_core import clock
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
 
 MAX_ANSWER_BYTES = 33_554_432
 
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry is home to a job: leases on partitions."""
--- a/packages/daemon/src/sardinerouted/entry/claims.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership/claims.py
@@ -1,8 +1,8 @@
 """Which sessions to end, and which partitions to claim or to give back."""
 
-from sardinerouted.entry import assignment
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import ownership
+from sardinerouted.entry.ownership import assignment
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import ownership
 
 
 class Claims:
--- a/packages/daemon/src/sardinerouted/entry/keeper.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership/keeper.py
@@ -7,10 +7,10 @@
 from sardineroute_core import ids
 from sardineroute_core import logs
 from sardineroute_core import platformlog
-from sardinerouted.entry import claims
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import ownership
+from sardinerouted.entry.ownership import claims
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import ownership
 
 _STEPS_IN_LEASE = 12
 _RENEWALS_IN_LEASE = 3
--- a/packages/daemon/src/sardinerouted/entry/lease.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership/lease.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from sardineroute_core import clock
-from sardinerouted.entry import leasefold
+from sardinerouted.entry.ownership import leasefold
 
 DRIFT_PER_MILLE = 2
 _ROUNDING_MS = 5
--- a/packages/daemon/src/sardinerouted/entry/leasefold.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership/leasefold.py
@@ -8,7 +8,7 @@
 import dataclasses
 from typing import Any
 
-from sardinerouted.entry import leaserecords
+from sardinerouted.entry.ownership import leaserecords
 
 _MAX_LOSSES = 1_000
 
--- a/packages/daemon/src/sardinerouted/entry/leaving.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership/leaving.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from sardineroute_core import logs
-from sardinerouted.entry import home
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.jobs import home
 
 _DRAIN_MS = 2_000
 _POLL_MS = 20
--- a/packages/daemon/src/sardinerouted/entry/ownership.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership/ownership.py
@@ -14,10 +14,10 @@
 from sardineroute_core import platformlog
 from sardineroute_core import settings
 from sardineroute_core import takeover
-from sardinerouted.entry import lease
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import promises
+from sardinerouted.entry.ownership import lease
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import promises
 
 _log = logs.part("ownership")
 
--- a/packages/daemon/src/sardinerouted/entry/promises.py
+++ b/packages/daemon/src/sardinerouted/entry/ownership/promises.py
@@ -1,7 +1,7 @@
 """Promises to other entries not to end their sessions."""
 
 from sardineroute_core import clock
-from sardinerouted.entry import lease
+from sardinerouted.entry.ownership import lease
 
 
 class Promises:
--- a/packages/daemon/src/sardinerouted/entry/backends.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/backends.py
@@ -7,9 +7,9 @@
 from sardineroute_core import messages
 from sardineroute_core import streams
 from sardinerouted import membership
-from sardinerouted.entry import jobs
-from sardinerouted.entry import lease
-from sardinerouted.entry import speeds
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.ownership import lease
+from sardinerouted.entry.placement import speeds
 
 _RUN_WEIGHT = 0.05
 _LOAD_WEIGHT = 0.1
--- a/packages/daemon/src/sardinerouted/entry/choice.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/choice.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 
-from sardinerouted.entry import backends
-from sardinerouted.entry import health
-from sardinerouted.entry import speeds
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import health
+from sardinerouted.entry.placement import speeds
 
 FASTEST = "fastest"
 FIFO = "fifo"
--- a/packages/daemon/src/sardinerouted/entry/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/dispatch.py
@@ -8,16 +8,16 @@
 from sardineroute_core import errors
 from sardineroute_core import messages
 from sardineroute_core import policy
-from sardinerouted.entry import backends
-from sardinerouted.entry import choice
-from sardinerouted.entry import fifo
-from sardinerouted.entry import health
-from sardinerouted.entry import jobs
-from sardinerouted.entry import ownership
-from sardinerouted.entry import queues
-from sardinerouted.entry import rates
-from sardinerouted.entry import speeds
-from sardinerouted.entry import tasktraces
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.ownership import ownership
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import choice
+from sardinerouted.entry.placement import health
+from sardinerouted.entry.placement import speeds
+from sardinerouted.entry.placement import tasktraces
+from sardinerouted.entry.sharing import fifo
+from sardinerouted.entry.sharing import queues
+from sardinerouted.entry.sharing import rates
 
 # With tasks queued, looks again at least so often; sends nothing by itself.
 _RECHECK_MS = 250
--- a/packages/daemon/src/sardinerouted/entry/links.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/links.py
@@ -8,9 +8,9 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardineroute_core import takeover
-from sardinerouted.entry import backends
-from sardinerouted.entry import dispatch
-from sardinerouted.entry import questions
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import dispatch
+from sardinerouted.entry.recovery import questions
 
 _RECONNECT_MIN_MS = 50
 _RECONNECT_MAX_MS = 2_000
--- a/packages/daemon/src/sardinerouted/entry/loadmetrics.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/loadmetrics.py
@@ -6,7 +6,7 @@
 from prometheus_client import core
 from prometheus_client import registry
 
-from sardinerouted.entry import dispatch
+from sardinerouted.entry.placement import dispatch
 
 _REFUSALS = prometheus_client.Counter(
     "sardineroute_refusals",
--- a/packages/daemon/src/sardinerouted/entry/tasktraces.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/tasktraces.py
@@ -2,7 +2,7 @@
 
 from sardineroute_core import messages
 from sardineroute_core import traces
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
 
 
 def sent(task: jobs.Task) -> str:
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -17,19 +17,19 @@
 from sardinerouted import signals
 from sardinerouted import supervision
 from sardinerouted.entry import assembly
-from sardinerouted.entry import calls
-from sardinerouted.entry import dispatch
-from sardinerouted.entry import distribution
-from sardinerouted.entry import fleetmetrics
-from sardinerouted.entry import front
-from sardinerouted.entry import leaving
-from sardinerouted.entry import links
-from sardinerouted.entry import loadmetrics
-from sardinerouted.entry import peers
-from sardinerouted.entry import publisher
-from sardinerouted.entry import roster
-from sardinerouted.entry import seeds
 from sardinerouted.entry import state as entry_state
+from sardinerouted.entry.callers import front
+from sardinerouted.entry.fleet import calls
+from sardinerouted.entry.fleet import distribution
+from sardinerouted.entry.fleet import fleetmetrics
+from sardinerouted.entry.fleet import peers
+from sardinerouted.entry.fleet import publisher
+from sardinerouted.entry.fleet import roster
+from sardinerouted.entry.fleet import seeds
+from sardinerouted.entry.ownership import leaving
+from sardinerouted.entry.placement import dispatch
+from sardinerouted.entry.placement import links
+from sardinerouted.entry.placement import loadmetrics
 from sardinerouted.web import options as web_options
 
 _log = logs.part("entry")
--- a/packages/daemon/src/sardinerouted/entry/questions.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery/questions.py
@@ -9,9 +9,9 @@
 from sardineroute_core import errors
 from sardineroute_core import messages
 from sardineroute_core import takeover
-from sardinerouted.entry import backends
-from sardinerouted.entry import dispatch
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import dispatch
 
 _POLL_MS = 20
 _UNREACHABLE_SILENCES = 10
--- a/packages/daemon/src/sardinerouted/entry/recovery.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery/recovery.py
@@ -16,13 +16,13 @@
 from sardineroute_core import platformlog
 from sardineroute_core import streams
 from sardineroute_core import takeover
-from sardinerouted.entry import jobs
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import ownership
-from sardinerouted.entry import peers
-from sardinerouted.entry import questions
-from sardinerouted.entry import reliance
-from sardinerouted.entry import witness
+from sardinerouted.entry.fleet import peers
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import ownership
+from sardinerouted.entry.recovery import questions
+from sardinerouted.entry.recovery import reliance
+from sardinerouted.entry.recovery import witness
 
 _SURVEY_TIMEOUT_MS = 500
 _RETRY_MS = 200
--- a/packages/daemon/src/sardinerouted/entry/reliance.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery/reliance.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable
 
 from sardineroute_core import takeover
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import ownership
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import ownership
 
 _RENEWALS = 12
 _MAX_STATEMENTS = 1_000
--- a/packages/daemon/src/sardinerouted/entry/witness.py
+++ b/packages/daemon/src/sardinerouted/entry/recovery/witness.py
@@ -11,11 +11,11 @@
 from sardineroute_core import logs
 from sardineroute_core import streams
 from sardineroute_core import takeover
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import ownership
-from sardinerouted.entry import peers
-from sardinerouted.entry import reliance
+from sardinerouted.entry.fleet import peers
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import ownership
+from sardinerouted.entry.recovery import reliance
 
 MAX_MARKS = 200_000
 _PUSH_MARKS = 5_000
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/entry/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Which task goes next: shares, urgency, limits and refusals."""
--- a/packages/daemon/src/sardinerouted/entry/admission.py
+++ b/packages/daemon/src/sardinerouted/entry/sharing/admission.py
@@ -10,8 +10,8 @@
 
 from sardineroute_core import errors
 from sardineroute_core import policy
-from sardinerouted.entry import dispatch
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.placement import dispatch
 
 MAX_QUEUED_TASKS = 200_000
 _RETRY_MIN_MS = 1_000
--- a/packages/daemon/src/sardinerouted/entry/fifo.py
+++ b/packages/daemon/src/sardinerouted/entry/sharing/fifo.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 
-from sardinerouted.entry import jobs
-from sardinerouted.entry import queues
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.sharing import queues
 
 
 class FifoQueue:
--- a/packages/daemon/src/sardinerouted/entry/flows.py
+++ b/packages/daemon/src/sardinerouted/entry/sharing/flows.py
@@ -4,7 +4,7 @@
 import dataclasses
 import heapq
 
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
 
 _MIN_TOMBSTONES = 64
 
--- a/packages/daemon/src/sardinerouted/entry/queues.py
+++ b/packages/daemon/src/sardinerouted/entry/sharing/queues.py
@@ -15,8 +15,8 @@
 from typing import Protocol
 
 from sardineroute_core import policy
-from sardinerouted.entry import flows
-from sardinerouted.entry import jobs
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.sharing import flows
 
 # A team that could not be served, because no backend server of its kinds had
 # room, is preferred for at most so many slot-milliseconds afterwards.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,12 +19,12 @@
 from sardineroute_standins import caller
 from sardineroute_standins import fleet as fleet_module
 from sardinerouted import membership
-from sardinerouted.entry import admission
-from sardinerouted.entry import backends
-from sardinerouted.entry import dispatch
-from sardinerouted.entry import jobs
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import ownership
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import ownership
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import dispatch
+from sardinerouted.entry.sharing import admission
 
 KIND = "receipt.issue"
 JOBS = 100
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -17,8 +17,8 @@
 from sardineroute_core import platformlog
 from sardineroute_core import policy
 from sardineroute_core import publication
-from sardinerouted.entry import configuration
-from sardinerouted.entry import publisher
+from sardinerouted.entry.fleet import configuration
+from sardinerouted.entry.fleet import publisher
 
 ENTRIES = 3
 PUBLISH_MS = 8_000
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sardineroute_core import clock
-from sardinerouted.entry import health
+from sardinerouted.entry.placement import health
 
 KINDS = ("receipt.issue",)
 
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -8,11 +8,11 @@
 from sardineroute_core import policy
 from sardineroute_core import settings
 from sardinerouted import membership
-from sardinerouted.entry import backends
-from sardinerouted.entry import dispatch
-from sardinerouted.entry import jobs
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import ownership
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import ownership
+from sardinerouted.entry.placement import backends
+from sardinerouted.entry.placement import dispatch
 
 KIND = "receipt.issue"
 JOBS = 50
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -21,10 +21,10 @@
 from sardineroute_core import ids
 from sardineroute_core import platformlog
 from sardineroute_core import settings
-from sardinerouted.entry import keeper
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import ownership
+from sardinerouted.entry.ownership import keeper
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import ownership
 
 PARTITIONS = 4
 LEASE_MS = 1_000
--- a/tests/test_leasefold.py
+++ b/tests/test_leasefold.py
@@ -3,10 +3,10 @@
 import pytest
 
 from sardineroute_core import clock
-from sardinerouted.entry import lease
-from sardinerouted.entry import leasefold
-from sardinerouted.entry import leaserecords
-from sardinerouted.entry import promises
+from sardinerouted.entry.ownership import lease
+from sardinerouted.entry.ownership import leasefold
+from sardinerouted.entry.ownership import leaserecords
+from sardinerouted.entry.ownership import promises
 
 LEASE_MS = 1_000
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -14,8 +14,8 @@
 from hypothesis import strategies
 
 from sardineroute_core import policy
-from sardinerouted.entry import jobs
-from sardinerouted.entry import queues
+from sardinerouted.entry.jobs import jobs
+from sardinerouted.entry.sharing import queues
 
 RUN_MS = 100.0
 
@@ -307,7 +307,8 @@
 
     def trace(frame: types.FrameType, event: str, _: object) -> object:
         nonlocal lines
-        if frame.f_globals.get("__package__") != "sardinerouted.entry":
+        package = str(frame.f_globals.get("__package__"))
+        if not package.startswith("sardinerouted.entry"):
             return None
         lines += event == "line"
         return trace
