--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -8,7 +8,6 @@
 from sardineroute_core import logs
 from sardineroute_core import routing
 from sardineroute_core import runmessages
-from sardineroute_core import traces
 from sardineroute_core import work
 from sardinerouted.dispatching import callers
 from sardinerouted.dispatching import estimates
@@ -19,15 +18,11 @@
 from sardinerouted.dispatching import placement
 from sardinerouted.dispatching import remembered
 from sardinerouted.dispatching import sidecars
+from sardinerouted.dispatching import starts
 from sardinerouted.dispatching import stragglers
 
 # Past its objective a job is still worth finishing up to three times it.
 _LATE_RATIO = 3.0
-# A task that found no room where it was expected so often waits in the end:
-# the loads that this entry knows are then older than the room lasts.
-_MAX_RETURNS = 3
-# A start that has waited for so much longer than expected comes back.
-_START_SLACK_MS = 120
 _CHECK_MS = 50
 # A pause of the process that callers and sidecars may have noticed.
 _STALL_MS = 300
@@ -193,8 +188,9 @@
                 expected_ms=int(end_in_ms),
             )
             return
+        now_ms = self._clock.now_ms()
         for task, choice in choices:
-            self._place(task, choice)
+            starts.send(task, choice, now_ms)
 
     def _plan(
         self, job: jobs.Job
@@ -225,51 +221,6 @@
     ) -> placement.Choice | None:
         return placement.choose(task, fleet, now_ms, self._far_factor)
 
-    def _place(self, task: jobs.Task, choice: placement.Choice) -> None:
-        """Sends a task to a sidecar."""
-        now_ms = self._clock.now_ms()
-        sidecar = choice.sidecar
-        job = task.job
-        latest_ms = int(job.objective_ms - choice.run_ms)
-        start_by_ms = int(now_ms + choice.start_in_ms + _START_SLACK_MS)
-        start_by_ms = min(max(start_by_ms, latest_ms), job.deadline_ms)
-        task.number += 1
-        task.phase = jobs.Phase.PLACED
-        task.sidecar_id = sidecar.id
-        task.distance = choice.distance
-        task.placed_ms = now_ms
-        task.start_in_ms = choice.start_in_ms
-        task.span = traces.begin(
-            "task", job.span.traceparent, {"task": task.id.index}
-        )
-        job.may_have_run = True
-        job.placed_at.add(sidecar.id)
-        job.load_age_ms = max(job.load_age_ms, sidecar.report_age_ms)
-        size = task.step.size
-        sidecar.send_start(
-            task,
-            runmessages.StartRun(
-                worker=sidecar.worker_id,
-                incarnation=sidecar.worker_incarnation,
-                job=task.id.job,
-                step=task.id.step,
-                index=task.id.index,
-                number=task.number,
-                payload=job.request.payload,
-                cpu_millicores=size.cpu_millicores,
-                memory_mb=size.memory_mb,
-                gpus=size.gpus,
-                estimate_ms=int(task.estimate_ms * choice.distance),
-                rank=sidecar.to_sidecar_ms(latest_ms),
-                may_wait=(
-                    choice.start_in_ms > 0 or task.returns >= _MAX_RETURNS
-                ),
-                start_by_ms=sidecar.to_sidecar_ms(start_by_ms),
-                lease_ms=sidecar.lease_until_ms(),
-                traceparent=task.span.traceparent,
-            ),
-        )
-
     def _take_end(
         self,
         task: jobs.Task,
@@ -347,7 +298,7 @@
             if choice.start_in_ms > 0 and now_ms + choice.end_in_ms > late_ms:
                 self._give_up(job, "no room in time")
                 return
-            self._place(task, choice)
+            starts.send(task, choice, now_ms)
 
     def _worthless_ms(self, job: jobs.Job) -> int:
         aim_ms = job.objective_ms - job.received_ms
--- a/packages/daemon/src/sardinerouted/hosted/sidecar.py
+++ b/packages/daemon/src/sardinerouted/hosted/sidecar.py
@@ -58,8 +58,8 @@
     store = adapter.record_store(options.store)
     supervisor.start("leases", fleet.watch())
     supervisor.start("load", fleet.tell_load())
-    supervisor.start("renewals", fleet.executor.renew())
-    supervisor.start("ends", fleet.executor.await_ends())
+    supervisor.start("renewals", fleet.executor.renewals.renew())
+    supervisor.start("ends", fleet.executor.renewals.await_ends())
     supervisor.start("discovery", _discover(store, fleet))
     handover = exchanges.Handover(asyncio.get_running_loop())
     workers = adapter.workers(
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -13,15 +13,10 @@
 from sardinerouted.worker import calls
 from sardinerouted.worker import ledger
 from sardinerouted.worker import pace
+from sardinerouted.worker import renewals
 from sardinerouted.worker import workermetrics
 
-# Several renewals fit into a lease, each with time for an answer.
-_RENEW_MS = 130
-# Renewals don't follow each other faster, so that a slow answer costs little.
-_MIN_RENEW_MS = 20
-_WAIT_FOR_END_MS = 400
 _FOREVER_MS = 2**62
-_STOP_RETRY_MS = 40
 # A worker that has no room though it should is tried again after so long.
 _FULL_RETRY_MS = 20
 
@@ -36,6 +31,7 @@
     Attributes:
         runs: All runs.
         pace: How fast the worker is.
+        renewals: The loops that call the worker while it has runs.
         worker: The worker's newest heartbeat, or None.
         draining: Whether nothing new may start.
         on_change: Called when the worker or its readiness has changed.
@@ -57,8 +53,12 @@
         self._acknowledged = 0
         self._has_unacknowledged = True
         self._newest_list_ms = 0
-        self._wanted = asyncio.Event()
-        self._began = asyncio.Event()
+        self.renewals = renewals.Renewals(
+            self._hold,
+            lambda: self._clock.now_ms() - self._newest_list_ms,
+            self._is_idle,
+            lambda: bool(self.runs.active()),
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._blocked_until_ms = 0
 
@@ -150,43 +150,9 @@
             return
         while (fitting := self.runs.next_fitting(now_ms)) is not None:
             self.runs.begin(fitting)
-            self._began.set()
-            self._wanted.set()
+            self.renewals.begin()
             self._spawn(self._order_start(fitting))
 
-    async def renew(self) -> None:
-        """Renews the lease of the runs while there are any; never returns."""
-        while True:
-            if self._is_idle():
-                self._wanted.clear()
-                if self._is_idle():
-                    await self._wanted.wait()
-            answered = True
-            if self._wanted.is_set() or self._renewed_ago_ms() >= _RENEW_MS:
-                self._wanted.clear()
-                answered = await self._hold(0)
-            wait_ms = _STOP_RETRY_MS
-            if answered:
-                left_ms = _RENEW_MS - self._renewed_ago_ms()
-                wait_ms = max(left_ms, _MIN_RENEW_MS)
-            try:
-                async with asyncio.timeout(wait_ms / 1_000):
-                    await self._wanted.wait()
-            except TimeoutError:
-                pass
-
-    async def await_ends(self) -> None:
-        """Learns of ends as they come; never returns."""
-        while True:
-            if not self.runs.active():
-                self._began.clear()
-                await self._began.wait()
-            if not await self._hold(_WAIT_FOR_END_MS):
-                await asyncio.sleep(_STOP_RETRY_MS / 1_000)
-
-    def _renewed_ago_ms(self) -> int:
-        return self._clock.now_ms() - self._newest_list_ms
-
     def _is_meant(self, order: runmessages.StartRun) -> bool:
         worker = self.worker
         return worker is not None and worker.life == (
@@ -259,7 +225,7 @@
         elif reply in (hosting.StartReply.FULL, hosting.StartReply.LATE):
             # Put back; the renewal's list shows what takes the room.
             self._block(_FULL_RETRY_MS)
-            self._wanted.set()
+            self.renewals.want()
         elif reply is hosting.StartReply.OLD:
             self._end(run, work.Outcome.REFUSED_OLD)
         else:
@@ -275,9 +241,9 @@
         while self.runs.find(run.ref.task) is run:
             if await self._try_stop(run.ref):
                 run.stopped_ms = self._clock.now_ms()
-                self._wanted.set()
+                self.renewals.want()
                 return
-            await asyncio.sleep(_STOP_RETRY_MS / 1_000)
+            await asyncio.sleep(renewals.RETRY_MS / 1_000)
 
     async def _try_stop(self, ref: hosting.RunRef) -> bool:
         worker = self.worker
@@ -338,7 +304,9 @@
         self._has_unacknowledged = bool(holdings.ended)
         if sent_ms >= self._newest_list_ms:
             self._newest_list_ms = sent_ms
-            self._take_absent(holdings.running, ended_refs, sent_ms)
+            listed = holdings.running | ended_refs
+            for run, outcome in self.runs.gone(listed, sent_ms):
+                self._end(run, outcome)
             self._take_strangers(holdings.running)
         self.pump()
 
@@ -349,24 +317,6 @@
         run.confirmed = True
         self._end(run, end.outcome)
 
-    def _take_absent(
-        self,
-        running: frozenset[hosting.RunRef],
-        ended: set[hosting.RunRef],
-        sent_ms: int,
-    ) -> None:
-        for run in self.runs.active():
-            if run.ref in running or run.ref in ended:
-                continue
-            if run.stopped_ms and run.stopped_ms <= sent_ms:
-                # Stopped, and listed neither as running nor as ended.
-                outcome = run.stop_as or work.Outcome.STOPPED
-                if not run.confirmed:
-                    outcome = work.Outcome.REFUSED_BY_WORKER
-                self._end(run, outcome)
-            elif run.confirmed and 0 < run.started_ms < sent_ms:
-                self._end(run, work.Outcome.LAPSED)
-
     def _take_strangers(self, running: frozenset[hosting.RunRef]) -> None:
         before = self.runs.strangers
         self.runs.note_listed(running, self._clock.now_ms())
@@ -414,7 +364,7 @@
         self._newest_list_ms = 0
         self._calls.forget_clock()
         self.runs.forget_list()
-        self._wanted.set()
+        self.renewals.want()
         self.pace = pace.Pace(self._clock)
 
     def _lose_worker(self) -> None:
--- a/packages/daemon/src/sardinerouted/worker/ledger.py
+++ b/packages/daemon/src/sardinerouted/worker/ledger.py
@@ -164,6 +164,28 @@
             if not self.has(ref) and ref not in self._ended_ms_by_ref
         )
 
+    def gone(
+        self, listed: frozenset[hosting.RunRef], sent_ms: int
+    ) -> list[tuple[Run, work.Outcome]]:
+        """Returns the runs that a list leaves out, and how each has ended.
+
+        Args:
+            listed: The worker's runs and ends.
+            sent_ms: When the worker was asked for them.
+        """
+        ends: list[tuple[Run, work.Outcome]] = []
+        for run in self.active():
+            if run.ref in listed:
+                continue
+            if run.stopped_ms and run.stopped_ms <= sent_ms:
+                outcome = run.stop_as or work.Outcome.STOPPED
+                if not run.confirmed:
+                    outcome = work.Outcome.REFUSED_BY_WORKER
+                ends.append((run, outcome))
+            elif run.confirmed and 0 < run.started_ms < sent_ms:
+                ends.append((run, work.Outcome.LAPSED))
+        return ends
+
     def remove(self, run: Run, now_ms: int) -> None:
         """Forgets a run that takes no room any more."""
         if self._runs_by_task.get(run.ref.task) is not run:
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -145,8 +145,8 @@
         for work_to_do in (
             sidecar.watch(),
             sidecar.tell_load(),
-            sidecar.executor.renew(),
-            sidecar.executor.await_ends(),
+            sidecar.executor.renewals.renew(),
+            sidecar.executor.renewals.await_ends(),
         ):
             self._tasks.append(asyncio.create_task(work_to_do))
         sidecar.learn([entry.address for entry in self.entries])
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -53,8 +53,8 @@
     async def main() -> None:
         rig = Rig(worker)
         loops = [
-            asyncio.create_task(rig.executor.renew()),
-            asyncio.create_task(rig.executor.await_ends()),
+            asyncio.create_task(rig.executor.renewals.renew()),
+            asyncio.create_task(rig.executor.renewals.await_ends()),
         ]
         rig.executor.register(fakeworker.registration(worker))
         try:
