Soak hosted processes behind links that delay, hold, fall silent and reset; announce the advertised address

The hosted soak had signals, lost orders and store outages only. Each entry's streams now pass a proxy; processes are paused and reloaded too, and the store may fall silent. An entry announced the address it listens at, though peers may reach it at streams.advertise.

--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -64,7 +64,8 @@
     warm_ms = time.now_ms() + _WARM_UP_MS
     desk = desks.Desk(time, options.far_factor, warm_ms)
     store = adapter.record_store(options.store)
-    own = (options.streams.listen.hostname, options.streams.listen.port)
+    address = options.streams.advertise or options.streams.listen
+    own = (address.hostname, address.port)
     peers = entry_peers.Peers(own, options, identity, time, desk.fleet)
 
     has_table = asyncio.Event()
--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -1,12 +1,16 @@
 """Hosted entries and sidecars as processes, on a stand-in of the platform."""
 
+import asyncio
 import json
 import pathlib
+import random
 import signal
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import Any
 
 import urllib3
@@ -15,6 +19,7 @@
 import fakeworker
 import platformserver
 from sardineroute_standins import ports as ports_module
+from sardineroute_standins import proxy
 
 HOST = "a.example"
 _SECRET = "a secret of sixteen"
@@ -41,6 +46,49 @@
     ).encode()
 
 
+class Links:
+    """A proxy before the stream port of each entry, in a thread of its own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._links: list[proxy.Link] = []
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+
+    def open(self, listen: int, target: int) -> None:
+        """Forwards one port to another."""
+        link = proxy.Link(proxy.Route(listen, target))
+        self._run(link.open())
+        self._links.append(link)
+
+    def fault(self, kind: str, source: random.Random) -> None:
+        """Injects `delay`, `hold`, `silence`, `reset` or `mend` into one."""
+        link = source.choice(self._links)
+        if kind in ("silence", "reset"):
+            self._loop.call_soon_threadsafe(getattr(link, kind))
+            return
+        faults = proxy.Faults(
+            hold=kind == "hold",
+            delay_ms=source.uniform(5, 80) if kind == "delay" else 0.0,
+        )
+        self._run(link.apply(faults))
+
+    def mend(self) -> None:
+        """Ends all faults; what went silent stays so."""
+        for link in self._links:
+            self._run(link.apply(proxy.Faults()))
+
+    def close(self) -> None:
+        """Ends the proxies."""
+        for link in self._links:
+            self._run(link.close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+
 class Fleet:
     """Entries, and a sidecar for each worker."""
 
@@ -61,6 +109,7 @@
         self._worker_servers = [platformserver.serve() for _ in workers]
         self._worker_addresses: list[str] = []
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.links = Links()
 
     def start(self) -> None:
         """Starts all, and waits until all entries are ready."""
@@ -70,6 +119,10 @@
             platform = server.__enter__()
             platform.worker = worker
             self._worker_addresses.append(platform.address)
+        for name in self._entries:
+            self.links.open(
+                self._port(name, "link"), self._port(name, "stream")
+            )
         for name in self.names():
             self.revive(name)
         self.until(self.is_ready)
@@ -85,6 +138,9 @@
             self._ports[key] = self._reserved.reserve()
         return f"127.0.0.1:{self._ports[key]}"
 
+    def _port(self, name: str, listener: str) -> int:
+        return int(self.address(name, listener).rpartition(":")[2])
+
     def front(self, number: int) -> str:
         """Returns the URL at which an entry takes jobs."""
         name = self._entries[number % len(self._entries)]
@@ -183,6 +239,7 @@
             process.wait()
         for server in self._worker_servers[: len(self._worker_addresses)]:
             server.__exit__(None, None, None)
+        self.links.close()
         self._reserved.release()
 
     def _settings(self, name: str) -> dict[str, Any]:
@@ -206,6 +263,7 @@
                 "streams": {
                     "secret": _SECRET,
                     "listen": self.address(name, "stream"),
+                    "advertise": self.address(name, "link"),
                 },
                 "http": {"listen": self.address(name, "front"), "threads": 4},
                 "readiness": self.address(name, "ready"),
--- a/tests/hostedsoak.py
+++ b/tests/hostedsoak.py
@@ -18,6 +18,15 @@
 import platformserver
 from sardineroute_core import hosting
 
+_SIGNALS_BY_KIND = {
+    "kill": signal.SIGKILL,
+    "term": signal.SIGTERM,
+    "pause": signal.SIGSTOP,
+    "reload": signal.SIGHUP,
+}
+_LINK_FAULTS = ("delay", "hold", "silence", "reset", "mend")
+_OTHER_FAULTS = ("start", "lose", "mute", "store")
+_SILENT_STORE_SHARE = 0.25
 # Callers send a job again so long after they lost its connection.
 _RESEND_S = 1.3
 _WAIT_MS = 3_000
@@ -120,15 +129,13 @@
         name = self._random.choice(fleet.names())
         worker = self._random.choice(self._workers)
         kind = self._random.choice(
-            ["kill", "term", "stop", "cont", "start", "lose", "mute", "store"]
+            [*_SIGNALS_BY_KIND, *_LINK_FAULTS, *_OTHER_FAULTS]
         )
         self.report.faults.append(f"{self._now_s():.2f} {kind} {name}")
-        if kind == "kill":
-            fleet.signal(name, signal.SIGKILL)
-        elif kind == "term":
-            fleet.signal(name, signal.SIGTERM)
-        elif kind == "stop":
-            fleet.signal(name, signal.SIGSTOP)
+        if kind in _SIGNALS_BY_KIND:
+            fleet.signal(name, _SIGNALS_BY_KIND[kind])
+        elif kind in _LINK_FAULTS:
+            fleet.links.fault(kind, self._random)
         elif kind == "lose":
             worker.lost_starts = 2
             threading.Timer(2.5, self._replay, args=(worker,)).start()
@@ -136,6 +143,7 @@
             worker.mute_starts = worker.mute_stops = 1
         elif kind == "store":
             store.status = self._random.choice([0, 503, 429])
+            store.silent = self._random.random() < _SILENT_STORE_SHARE
         else:
             for other in fleet.names():
                 fleet.signal(other, signal.SIGCONT)
@@ -148,6 +156,8 @@
         self, fleet: hostedprocesses.Fleet, store: platformserver.Platform
     ) -> None:
         store.status = 0
+        store.silent = False
+        fleet.links.mend()
         for name in fleet.names():
             fleet.signal(name, signal.SIGCONT)
             fleet.revive(name)
