End the runs of a worker that is gone; say 'not run' of tasks that came back; refuse before sending the rest

An order that found no connection has done nothing, and is handed back at once. A worker silent for 200 ms gets no further lease, so that all its runs are known to have ended 550 ms after the last one: they are told as lapsed, and it gets nothing until a heartbeat. - A job whose tasks had all come back for want of room was answered 504 'unknown', and the rest of its tasks were sent before the one without room gave it up. Runs that provably did not start no longer count, tasks that come back together are placed together, and all places are known before any is sent. Found by test_desk -k without_room, which failed in 4 of 10 runs beside other work: the room expected at a worker that was idle ignored our own tasks there, and a sidecar did not tell when it had listed its worker's runs. Tests: test_executor -k 'silent or did_not_leave' (fail before), test_desk -k came_back (failed until the last change), test_placement -k idle. test_desk -k retry_is_not_sent now lets the event loop turn once before it looks.

--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -18,6 +18,10 @@
     """Raised for a call that may have been carried out, or may be later."""
 
 
+class Unreached(Unanswered):
+    """Raised where no connection was made, so that nothing was done."""
+
+
 class Rejected(Exception):
     """Raised for a call that the other side has refused and not done."""
 
@@ -116,8 +120,9 @@
 class WorkerClient(Protocol):
     """Orders to the worker beside a sidecar; calls block.
 
-    All raise `Unanswered` where no answer came and `Rejected` where the
-    worker refused. Lease times are in the worker's clock.
+    All raise `Unanswered` where no answer came, `Unreached` where none can
+    come, and `Rejected` where the worker refused. Lease times are in the
+    worker's clock.
     """
 
     def start(
--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -31,6 +31,8 @@
 # objective.
 _PATIENCE_SHARE = 0.25
 _BUSY_RETRY_MS = 30
+# The run did not start since one of another try of the job was there.
+_FROM_OTHER_TRIES = (work.Outcome.REFUSED_OLD, work.Outcome.REFUSED_BUSY)
 # Steps over the numbers that an earlier try of the job may have used.
 _NUMBER_STEP = 16
 
@@ -171,7 +173,7 @@
     def _admit(self, job: jobs.Job) -> None:
         """Places all tasks of a fresh job, or refuses it."""
         choices = self._plan(job)
-        if choices is None:
+        if len(choices) < len(job.queued()):
             # Tried again by `_check` for a short while.
             return
         if any(
@@ -192,10 +194,8 @@
         for task, choice in choices:
             starts.send(task, choice, now_ms)
 
-    def _plan(
-        self, job: jobs.Job
-    ) -> list[tuple[jobs.Task, placement.Choice]] | None:
-        """Returns a place for each queued task, or None where one has none.
+    def _plan(self, job: jobs.Job) -> list[tuple[jobs.Task, placement.Choice]]:
+        """Returns the queued tasks that have a place, and that place.
 
         The room that a task would take is counted for those after it.
         """
@@ -206,7 +206,7 @@
             for task in job.queued():
                 choice = self._choose(task, self.fleet.known(), now_ms)
                 if choice is None:
-                    return None
+                    continue
                 sidecar = choice.sidecar
                 taken.setdefault(sidecar.id, sidecar.free)
                 sidecar.free = sidecar.free.minus(task.step.size)
@@ -238,6 +238,8 @@
                 job.queue.name, task.step.estimate_ms, usual_ms
             )
             job.learn(task, usual_ms)
+        if outcome.never_started and outcome not in _FROM_OTHER_TRIES:
+            task.possible_runs -= 1
         if job.is_over:
             return
         if done:
@@ -278,7 +280,9 @@
             sidecar=task.sidecar_id,
             age_ms=self._clock.now_ms() - task.job.received_ms,
         )
-        self._place_queued(task.job)
+        # Other tasks of the job may have come back with the same bytes.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._place_queued, task.job)
 
     def _place_queued(self, job: jobs.Job) -> None:
         """Places the queued tasks of a job, or gives it up."""
@@ -289,15 +293,16 @@
             self._give_up(job, "the caller has left")
             return
         now_ms = self._clock.now_ms()
-        late_ms = self._worthless_ms(job)
-        for task in job.queued():
-            choice = self._choose(task, self.fleet.known(), now_ms)
-            if choice is None:
-                # Looked at again until the deadline.
-                continue
-            if choice.start_in_ms > 0 and now_ms + choice.end_in_ms > late_ms:
-                self._give_up(job, "no room in time")
-                return
+        left_ms = self._worthless_ms(job) - now_ms
+        # Those without a place are looked at again until the deadline.
+        choices = self._plan(job)
+        if any(
+            choice.start_in_ms > 0 and choice.end_in_ms > left_ms
+            for _, choice in choices
+        ):
+            self._give_up(job, "no room in time")
+            return
+        for task, choice in choices:
             starts.send(task, choice, now_ms)
 
     def _worthless_ms(self, job: jobs.Job) -> int:
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -53,6 +53,7 @@
         start_in_ms: How long it was expected to wait for its start then.
         retries: Times that it was sent again.
         returns: Times that it came back for want of room.
+        possible_runs: Runs that have started, or of which nobody knows.
         span: From its start message to its end.
     """
 
@@ -71,6 +72,7 @@
     start_in_ms: float = 0.0
     retries: int = 0
     returns: int = 0
+    possible_runs: int = 0
     span: traces.Span = traces.NONE
 
 
@@ -89,7 +91,6 @@
         tasks: All tasks, by step and index.
         state: Where the job stands.
         error: What its caller is told where it has not ended by itself.
-        may_have_run: Whether a task may have started.
         received_ms: When it arrived.
         deadline_ms: When its caller stops waiting.
         objective_ms: When it is late.
@@ -118,7 +119,6 @@
         }
         self.state = State.RUNNING
         self.error: errors.Error | None = None
-        self.may_have_run = False
         self.received_ms = now_ms
         # A queue's own timeout is far below the run time of its longer jobs;
         # the caller says how long it waits for this one.
@@ -139,6 +139,11 @@
         """Returns whether the job has ended."""
         return self.state is not State.RUNNING
 
+    @property
+    def may_have_run(self) -> bool:
+        """Returns whether a task may have started."""
+        return any(task.possible_runs for task in self.tasks_by_id.values())
+
     def queued(self) -> list[Task]:
         """Returns the tasks that are to be placed."""
         return [
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -135,6 +135,8 @@
         load = self._load
         if load is None:
             return float("inf")
+        if self._was_idle(load):
+            return max(1.0, self._first_end_in_ms())
         ahead = len(self._unreported) * load.run_interval_ms
         return max(1.0, load.room_in_ms - self.report_age_ms) + ahead
 
@@ -173,6 +175,27 @@
         self.tasks_by_id[task.id] = task
         self.connection.send(message)
 
+    def _was_idle(self, load: runmessages.Load) -> bool:
+        worker = self.worker
+        return (
+            worker is not None
+            and load.free_cpu_millicores >= worker.cpu_millicores
+        )
+
+    def _first_end_in_ms(self) -> float:
+        """Returns when the first of the tasks sent there should end."""
+        now_ms = self._clock.now_ms()
+        return min(
+            (
+                task.placed_ms
+                + task.start_in_ms
+                + self.run_ms(task.estimate_ms) * task.distance
+                - now_ms
+                for task in self.tasks_by_id.values()
+            ),
+            default=0.0,
+        )
+
     def _take_tick(self, tick_ms: int, now_ms: int) -> None:
         offset_ms = tick_ms - now_ms
         if self._offset_ms is None:
--- a/packages/daemon/src/sardinerouted/dispatching/starts.py
+++ b/packages/daemon/src/sardinerouted/dispatching/starts.py
@@ -13,7 +13,7 @@
 
 
 def send(task: jobs.Task, choice: placement.Choice, now_ms: int) -> None:
-    """Sends a task to a sidecar; its job may have run from now on."""
+    """Sends a task to a sidecar, where it may start from now on."""
     sidecar = choice.sidecar
     job = task.job
     latest_ms = int(job.objective_ms - choice.run_ms)
@@ -29,7 +29,7 @@
     task.span = traces.begin(
         "task", job.span.traceparent, {"task": task.id.index}
     )
-    job.may_have_run = True
+    task.possible_runs += 1
     job.placed_at.add(sidecar.id)
     job.load_age_ms = max(job.load_age_ms, sidecar.report_age_ms)
     size = task.step.size
--- a/packages/daemon/src/sardinerouted/worker/calls.py
+++ b/packages/daemon/src/sardinerouted/worker/calls.py
@@ -14,6 +14,12 @@
 # Lease of all runs at the worker. With the entry's lease and the time of a
 # stop it stays below the 1,300 ms after which callers send again.
 RUN_LEASE_MS = 450
+# A worker that has answered nothing for so long gets no further lease: several
+# orders, each with its time for an answer.
+_SILENCE_MS = 200
+# Nothing runs at the worker so long after the last lease that was sent to it:
+# the lease in a clock 2 % slow, which was read up to 1,500 ms before.
+_LAPSED_MS = 550
 _ORDER_THREADS = 8
 _HOLD_THREADS = 2
 # Added to the token when the worker has seen a higher one, from a sidecar
@@ -36,6 +42,8 @@
         # back; then the worker says so.
         self._token = int(system_time.time() * 1_000)
         self._offset_ms: int | None = None
+        self._unanswered_since_ms: int | None = None
+        self._leased_ms = 0
         self._orders = concurrent.futures.ThreadPoolExecutor(
             _ORDER_THREADS, thread_name_prefix="order"
         )
@@ -43,9 +51,17 @@
             _HOLD_THREADS, thread_name_prefix="hold"
         )
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Returns whether all runs have ended at a worker that is silent."""
+        return (
+            self._unanswered_since_ms is not None
+            and self._clock.now_ms() > self._leased_ms + _LAPSED_MS
+        )
+
     async def start(self, worker: str, run: ledger.Run) -> hosting.StartReply:
         """Starts a run; a refusal for the token raises the token."""
-        reply, clock_ms = await _in_thread(
+        reply, clock_ms = await self._call(
             self._orders,
             self._client.start,
             worker,
@@ -63,7 +79,7 @@
     async def stop(self, worker: str, ref: hosting.RunRef) -> None:
         """Ends a run, or makes sure that it never starts."""
         try:
-            await _in_thread(
+            await self._call(
                 self._orders, self._client.stop, worker, ref, self._token
             )
         except hosting.Rejected as error:
@@ -75,7 +91,7 @@
     ) -> hosting.Holdings:
         """Renews the lease of all runs; waits for an end up to `wait_ms`."""
         try:
-            holdings = await _in_thread(
+            holdings = await self._call(
                 self._holds,
                 self._client.hold,
                 worker,
@@ -98,14 +114,46 @@
         """
         self._offset_ms = clock_ms - self._clock.now_ms()
 
+    def take_sign_of_life(self) -> None:
+        """Takes note that the worker works."""
+        self._unanswered_since_ms = None
+
     def forget_clock(self) -> None:
         """Forgets the clock of a worker that has gone."""
         self._offset_ms = None
 
     def _lease_until_ms(self) -> int:
+        """Returns the end of a lease, or 0 for none.
+
+        A silent worker gets none, so that it is known when its runs have
+        lapsed.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms = self._unanswered_since_ms
+        if since_ms is not None and now_ms - since_ms > _SILENCE_MS:
+            return 0
         if self._offset_ms is None:
             return 0
-        return self._clock.now_ms() + self._offset_ms + RUN_LEASE_MS
+        self._leased_ms = now_ms
+        return now_ms + self._offset_ms + RUN_LEASE_MS
+
+    async def _call(
+        self,
+        pool: concurrent.futures.Executor,
+        function: Callable[..., Any],
+        *arguments: Any,
+    ) -> Any:
+        try:
+            result = await _in_thread(pool, function, *arguments)
+        except hosting.Unanswered:
+            if self._unanswered_since_ms is None:
+                self._unanswered_since_ms = self._clock.now_ms()
+            raise
+        except hosting.Rejected:
+            self.take_sign_of_life()
+            raise
+        self.take_sign_of_life()
+        return result
 
     def _take_rejection(self, reason: str) -> None:
         if "fence" in reason:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -34,7 +34,8 @@
         renewals: The loops that call the worker while it has runs.
         worker: The worker's newest heartbeat, or None.
         draining: Whether nothing new may start.
-        on_change: Called when the worker or its readiness has changed.
+        on_change: Called when the worker has changed, or whether runs may
+            start there.
         lease_of: Returns the end of an entry's lease.
     """
 
@@ -61,12 +62,18 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._blocked_until_ms = 0
+        self._is_silent = False
 
     @property
     def accepts(self) -> bool:
         """Returns whether the worker may get new runs."""
         worker = self.worker
-        return worker is not None and not worker.draining and not self.draining
+        return (
+            worker is not None
+            and not worker.draining
+            and not self.draining
+            and not self._is_silent
+        )
 
     def register(self, registration: hosting.Registration) -> None:
         """Takes a heartbeat of the worker."""
@@ -80,8 +87,10 @@
         draining = known is not None and known.draining
         self.worker = registration
         self.runs.capacity = registration.capacity
-        if registration.clock_ms is not None and changed:
+        if registration.clock_ms is not None:
             self._calls.take_clock(registration.clock_ms)
+        self._calls.take_sign_of_life()
+        self.check()
         if changed or draining != registration.draining:
             _log.info(
                 "The worker has registered.",
@@ -138,6 +147,21 @@
             run.phase = ledger.Phase.STOPPING
             self._spawn(self._order_stop(run))
 
+    def check(self) -> None:
+        """Ends the runs of a worker that has been silent for too long."""
+        if self._calls.has_lapsed == self._is_silent:
+            return
+        self._is_silent = self._calls.has_lapsed
+        if self._is_silent:
+            _log.warning(
+                "The worker does not answer; its runs have lapsed.",
+                runs=len(self.runs.active()),
+            )
+            self._drop_runs()
+        else:
+            _log.info("The worker answers again.")
+        self.on_change()
+
     def pump(self) -> None:
         """Starts the runs that fit and refuses those that waited too long."""
         now_ms = self._clock.now_ms()
@@ -189,6 +213,10 @@
         try:
             with traces.span("call worker", run.span.traceparent):
                 reply = await self._calls.start(worker.id, run)
+        except hosting.Unreached as error:
+            if self.runs.find(run.ref.task) is run:
+                self._take_unreached(run, str(error))
+            return
         except hosting.Unanswered as error:
             self._doubt(run, str(error))
             return
@@ -196,6 +224,13 @@
             return
         self._take_reply(run, reply)
 
+    def _take_unreached(self, run: ledger.Run, why: str) -> None:
+        """Hands back a run whose order has not left."""
+        _log.warning("The worker is out of reach.", **_about(run), why=why[:80])
+        self.pace.fail()
+        self.runs.put_back(run)
+        self._end(run, work.Outcome.REFUSED_BY_WORKER)
+
     def _doubt(self, run: ledger.Run, why: str) -> None:
         """Stops a run that may have started, or may start later."""
         if self.runs.find(run.ref.task) is not run:
@@ -304,10 +339,13 @@
         self._has_unacknowledged = bool(holdings.ended)
         if sent_ms >= self._newest_list_ms:
             self._newest_list_ms = sent_ms
+            was_blocked = self.runs.is_blocked
             listed = holdings.running | ended_refs
             for run, outcome in self.runs.gone(listed, sent_ms):
                 self._end(run, outcome)
             self._take_strangers(holdings.running)
+            if self.runs.is_blocked != was_blocked:
+                self.on_change()
         self.pump()
 
     def _take_end(self, end: hosting.EndedRun) -> None:
--- a/packages/daemon/src/sardinerouted/worker/stations.py
+++ b/packages/daemon/src/sardinerouted/worker/stations.py
@@ -105,6 +105,7 @@
             now_ms = self._clock.now_ms()
             for owner, station in list(self._stations_by_owner.items()):
                 self._check(owner, station, now_ms)
+            self.executor.check()
             if self.executor.runs.waiting():
                 self.executor.pump()
 
--- a/tests/fakeworker.py
+++ b/tests/fakeworker.py
@@ -18,6 +18,8 @@
     """Implements `hosting.WorkerClient`; its clock is 5 s behind ours.
 
     Attributes:
+        is_gone: Whether nobody listens at its address.
+        is_dark: Whether calls get no answer and are not carried out.
         mute_starts: So many starts are carried out without an answer.
         lost_starts: So many starts are not answered, and kept for `replay`.
         mute_stops: So many stops are not answered and not carried out.
@@ -32,6 +34,8 @@
         run_ms: int = 50,
         lock: contextlib.AbstractContextManager[Any] | None = None,
     ) -> None:
+        self.is_gone = False
+        self.is_dark = False
         self.mute_starts = 0
         self.lost_starts = 0
         self.mute_stops = 0
@@ -65,6 +69,7 @@
         token: int,
     ) -> tuple[hosting.StartReply, int | None]:
         """Starts a run, or misbehaves as it was told."""
+        self._check_reach()
         with self._lock:
             self._advance()
             if token < self.highest_token:
@@ -90,6 +95,7 @@
 
     def stop(self, worker: str, run: hosting.RunRef, token: int) -> None:
         """Ends a run, or misbehaves as it was told."""
+        self._check_reach()
         with self._lock:
             if self.mute_stops:
                 self.mute_stops -= 1
@@ -111,6 +117,7 @@
         """Renews the lease and returns runs and ends."""
         until_s = time.monotonic() + wait_ms / 1_000
         while True:
+            self._check_reach()
             with self._lock:
                 self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
                 self._advance()
@@ -140,6 +147,13 @@
         self.most_at_once = max(self.most_at_once, len(self.running))
         return hosting.StartReply.STARTED
 
+    def _check_reach(self) -> None:
+        if self.is_gone:
+            raise hosting.Unreached("connection refused")
+        if self.is_dark:
+            time.sleep(0.1)
+            raise hosting.Unanswered("dark")
+
     def advance(self) -> None:
         """Ends what is due; for who holds the lock."""
         self._advance()
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -53,6 +53,29 @@
     asyncio.run(main())
 
 
+def test_refusal_of_tasks_that_came_back_says_not_run() -> None:
+    async def main() -> None:
+        worker = fakeworker.FakeWorker(run_ms=2_000)
+        async with hostedrig.fleet(2, [worker]) as rig:
+            await rig.until(lambda: all(map(knows_room, rig.entries)))
+            # Each entry sends a job for the same room. An objective that the
+            # other's job leaves no time for makes the later one come back.
+            first, second = await asyncio.gather(
+                rig.entries[0].submit("job-1", tasks=4, estimate_ms=2_000),
+                rig.entries[1].submit("job-2", tasks=4, estimate_ms=100),
+            )
+            assert [first, second] == ["completed", "overloaded no"]
+            assert len(rig.starts()) == 4
+
+    asyncio.run(main())
+
+
+def knows_room(entry: hostedrig.Entry) -> bool:
+    """Returns whether an entry knows that its only worker is free."""
+    (sidecar,) = entry.desk.fleet.known()
+    return sidecar.free_share == 1.0
+
+
 def test_failed_task_is_tried_elsewhere_until_its_attempts_are_used() -> None:
     async def main() -> None:
         workers = [fakeworker.FakeWorker() for _ in range(2)]
@@ -251,6 +274,7 @@
             # The end of the run is read before the caller's close.
             theirs.close()
             desk._take_end(task, work.Outcome.LAPSED, 0, desk.fleet.known()[0])
+            await asyncio.sleep(0)
             assert job.is_over
             await asyncio.gather(running, return_exceptions=True)
             assert len(worker.starts) == 1
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -15,6 +15,9 @@
 from sardinerouted.worker import executor
 from sardinerouted.worker import ledger
 
+# After so long a caller sends a job again that it has heard nothing of.
+RESEND_S = 1.3
+
 Test = Callable[["Rig"], Awaitable[None]]
 
 
@@ -39,6 +42,12 @@
             assert time.monotonic() < end_s, self.ends
             await asyncio.sleep(0.005)
 
+    async def watch(self) -> None:
+        """Looks after silent workers, as the sidecar does."""
+        while True:
+            await asyncio.sleep(0.05)
+            self.executor.check()
+
     def outcomes(self) -> dict[str, work.Outcome]:
         """Returns how the run of each job has ended."""
         return {job: outcome for job, _, outcome in self.ends}
@@ -55,6 +64,7 @@
         loops = [
             asyncio.create_task(rig.executor.renewals.renew()),
             asyncio.create_task(rig.executor.renewals.await_ends()),
+            asyncio.create_task(rig.watch()),
         ]
         rig.executor.register(fakeworker.registration(worker))
         try:
@@ -140,6 +150,60 @@
     run(test, worker)
 
 
+def test_start_that_did_not_leave_is_handed_back_at_once() -> None:
+    worker = fakeworker.FakeWorker()
+
+    async def test(rig: Rig) -> None:
+        await rig.until(lambda: rig.executor.runs.is_listed)
+        worker.is_gone = True
+        rig.take("job-1")
+        await rig.until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.REFUSED_BY_WORKER}
+
+    run(test, worker)
+
+
+@pytest.mark.parametrize("fault", ["is_gone", "is_dark"])
+def test_runs_at_a_silent_worker_end_with_their_lease(fault: str) -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: Rig) -> None:
+        rig.take("job-1")
+        await rig.until(lambda: bool(worker.running))
+        setattr(worker, fault, True)
+        silent_s = time.monotonic()
+        await rig.until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.LAPSED}
+        assert time.monotonic() - silent_s < RESEND_S
+        worker.advance()
+        assert not worker.running
+        assert not rig.executor.accepts
+        setattr(worker, fault, False)
+        rig.executor.register(fakeworker.registration(worker, sequence=2))
+        assert rig.executor.accepts
+        rig.take("job-2")
+        await rig.until(lambda: bool(worker.running))
+
+    run(test, worker)
+
+
+def test_start_lost_at_a_silent_worker_does_nothing_later() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+    worker.lost_starts = 1
+
+    async def test(rig: Rig) -> None:
+        await rig.until(lambda: rig.executor.runs.is_listed)
+        rig.take("job-1")
+        await rig.until(lambda: not worker.lost_starts)
+        worker.is_dark = True
+        await rig.until(lambda: bool(rig.ends))
+        (reply,) = worker.replay()
+        assert reply in (hosting.StartReply.LATE, hosting.StartReply.OLD)
+        assert not worker.starts
+
+    run(test, worker)
+
+
 def test_lease_is_renewed_while_runs_last_and_lapses_without() -> None:
     worker = fakeworker.FakeWorker(run_ms=1_500)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -139,6 +139,16 @@
     assert sidecar.room_in_ms(task.step.size) > 0
 
 
+def test_room_at_a_worker_that_was_idle_comes_with_the_end_of_our_tasks() -> (
+    None
+):
+    sidecar = make_sidecar("one")
+    task = make_task(estimate_ms=900, size=work.Size(8_000, 10))
+    task.placed_ms = NOW_MS
+    sidecar.send_start(task, "start")
+    assert sidecar.room_in_ms(work.Size(1_000)) == 900.0
+
+
 def test_lease_in_the_sidecar_s_clock_is_never_too_late() -> None:
     sidecar = make_sidecar("one")
     assert sidecar.lease_until_ms() == NOW_MS + sidecars.LEASE_MS
