--- a/packages/daemon/src/sardinerouted/worker/calls.py
+++ b/packages/daemon/src/sardinerouted/worker/calls.py
@@ -10,6 +10,7 @@
 from sardineroute_core import hosting
 from sardineroute_core import logs
 from sardinerouted.worker import ledger
+from sardinerouted.worker import runlog
 
 # Lease of all runs at the worker. With the entry's lease and the time of a
 # stop it stays below the 1,300 ms after which callers send again.
@@ -59,7 +60,29 @@
             and self._clock.now_ms() > self._leased_ms + _LAPSED_MS
         )
 
-    async def start(self, worker: str, run: ledger.Run) -> hosting.StartReply:
+    async def start(
+        self, worker: str, run: ledger.Run, may_repeat: Callable[[], bool]
+    ) -> hosting.StartReply:
+        """Starts a run; the order is sent once more where no answer came.
+
+        It is idempotent: a worker that has the run says that it started.
+        """
+        try:
+            return await self._start(worker, run)
+        except hosting.Unreached:
+            raise
+        except hosting.Unanswered as error:
+            if not may_repeat():
+                raise
+            why = str(error)[:80]
+            _log.info("A start is sent again.", **runlog.about(run), why=why)
+        reply = await self._start(worker, run)
+        if reply is hosting.StartReply.OLD:
+            # The first order has started it, and its end will be listed.
+            return hosting.StartReply.STARTED
+        return reply
+
+    async def _start(self, worker: str, run: ledger.Run) -> hosting.StartReply:
         """Starts a run; a refusal for the token raises the token."""
         reply, clock_ms = await self._call(
             self._orders,
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -14,6 +14,7 @@
 from sardinerouted.worker import ledger
 from sardinerouted.worker import pace
 from sardinerouted.worker import renewals
+from sardinerouted.worker import runlog
 from sardinerouted.worker import workermetrics
 
 _FOREVER_MS = 2**62
@@ -212,7 +213,9 @@
             return
         try:
             with traces.span("call worker", run.span.traceparent):
-                reply = await self._calls.start(worker.id, run)
+                reply = await self._calls.start(
+                    worker.id, run, lambda: self._may_repeat(run)
+                )
         except hosting.Unreached as error:
             if self.runs.find(run.ref.task) is run:
                 self._take_unreached(run, str(error))
@@ -224,9 +227,14 @@
             return
         self._take_reply(run, reply)
 
+    def _may_repeat(self, run: ledger.Run) -> bool:
+        return run.stop_as is None and not self._is_void(run)
+
     def _take_unreached(self, run: ledger.Run, why: str) -> None:
         """Hands back a run whose order has not left."""
-        _log.warning("The worker is out of reach.", **_about(run), why=why[:80])
+        _log.warning(
+            "The worker is out of reach.", **runlog.about(run), why=why[:80]
+        )
         self.pace.fail()
         self.runs.put_back(run)
         self._end(run, work.Outcome.REFUSED_BY_WORKER)
@@ -235,7 +243,9 @@
         """Stops a run that may have started, or may start later."""
         if self.runs.find(run.ref.task) is not run:
             return
-        _log.warning("A start was not answered.", **_about(run), why=why[:80])
+        _log.warning(
+            "A start was not answered.", **runlog.about(run), why=why[:80]
+        )
         self.pace.fail()
         run.phase = ledger.Phase.STOPPING
         run.stop_as = work.Outcome.STOPPED
@@ -251,7 +261,9 @@
                 run.phase = ledger.Phase.STOPPING
                 self._spawn(self._order_stop(run))
             return
-        _log.info("The worker refused a run.", **_about(run), reply=reply.value)
+        _log.info(
+            "The worker refused a run.", **runlog.about(run), reply=reply.value
+        )
         self.runs.put_back(run)
         if run.stop_as is not None:
             self._end(run, work.Outcome.WITHDRAWN)
@@ -358,14 +370,7 @@
     def _take_strangers(self, running: frozenset[hosting.RunRef]) -> None:
         before = self.runs.strangers
         self.runs.note_listed(running, self._clock.now_ms())
-        for ref in self.runs.strangers - before:
-            _log.warning(
-                "The worker runs what nobody here ordered.",
-                job=ref.task.job,
-                step=ref.task.step,
-                index=ref.task.index,
-                number=ref.number,
-            )
+        runlog.strangers(self.runs.strangers - before)
         for ref in self.runs.strangers:
             self._spawn(self._stop_stranger(ref))
 
@@ -384,14 +389,7 @@
         elif outcome is work.Outcome.FAILED:
             self.pace.fail()
         workermetrics.ended(outcome, run_ms)
-        _log.info(
-            "A run has ended.",
-            **_about(run),
-            outcome=outcome.name,
-            waited_ms=(run.started_ms or now_ms) - run.received_ms,
-            run_ms=run_ms,
-            estimate_ms=run.order.estimate_ms,
-        )
+        runlog.ended(run, outcome, now_ms, run_ms)
         self._report(run, outcome, run_ms)
 
     def _begin_life(self, registration: hosting.Registration) -> None:
@@ -424,12 +422,3 @@
         task = asyncio.get_running_loop().create_task(work_to_do)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _about(run: ledger.Run) -> dict[str, Any]:
-    return {
-        "job": run.ref.task.job,
-        "step": run.ref.task.step,
-        "index": run.ref.task.index,
-        "number": run.ref.number,
-    }
--- a/tests/fakeworker.py
+++ b/tests/fakeworker.py
@@ -136,6 +136,8 @@
     def _begin(
         self, run: hosting.RunRef, lease_until_ms: int
     ) -> hosting.StartReply:
+        if run in self.running:
+            return hosting.StartReply.STARTED
         if lease_until_ms <= self.clock_ms():
             return hosting.StartReply.LATE
         if run.number <= self._stopped.get(run.task, 0):
@@ -171,6 +173,8 @@
 
     def _end(self, run: hosting.RunRef, outcome: work.Outcome) -> None:
         self._sequence += 1
+        known = self._stopped.get(run.task, 0)
+        self._stopped[run.task] = max(known, run.number)
         self._ended.append(hosting.EndedRun(self._sequence, run, outcome))
 
 
