--- a/packages/daemon/src/sardinerouted/entry/placement/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/dispatch.py
@@ -12,16 +12,18 @@
 from sardinerouted.entry.ownership import ownership
 from sardinerouted.entry.placement import backends
 from sardinerouted.entry.placement import choice
+from sardinerouted.entry.placement import endings
 from sardinerouted.entry.placement import health
+from sardinerouted.entry.placement import kindindex
 from sardinerouted.entry.placement import speeds
 from sardinerouted.entry.placement import tasktraces
+from sardinerouted.entry.placement import withdrawals
 from sardinerouted.entry.sharing import fifo
 from sardinerouted.entry.sharing import queues
 from sardinerouted.entry.sharing import rates
 
 # With tasks queued, looks again at least so often; sends nothing by itself.
 _RECHECK_MS = 250
-_INDEX_MS = 100
 _OVERDUE_RATIO = 8.0
 _OVERDUE_MIN_MS = 500.0
 _MIN_OVERDUE_TASKS = 2
@@ -82,10 +84,8 @@
         self._queue: queues.Queue = self._fair
         self._policy_name = ""
         self._choose = choice.make(choice.FASTEST, self._knowledge)
-        self._servers_by_kind: dict[str, list[backends.BackendServer]] = {}
-        self._indexed_ms = 0
-        self._known_slots: int | None = None
-        self._withdrawn_by_server: dict[str, list[str]] = {}
+        self._index = kindindex.Index(time, servers_by_id, self.health)
+        self._withdrawals = withdrawals.Withdrawals(servers_by_id)
         self._starts_by_flow: dict[tuple[str, str], rates.Rate] = {}
         self._recheck: asyncio.TimerHandle | None = None
         self._is_holding = False
@@ -102,18 +102,7 @@
 
     def servers_of(self, kind: str) -> list[backends.BackendServer]:
         """Returns the announced backend servers that run a kind."""
-        self._refresh()
-        servers = self._servers_by_kind.get(kind)
-        if servers is None:
-            servers = [
-                server
-                for server in self._servers_by_id.values()
-                if kind in server.announcement.kinds
-            ]
-            for server in servers:
-                self.health.watch(server.id, server.announcement.kinds)
-            self._servers_by_kind[kind] = servers
-        return servers
+        return self._index.servers_of(kind)
 
     def start_rate(self, team: str, kind: str) -> float:
         """Returns the tasks of a team's kind started in a millisecond."""
@@ -135,7 +124,7 @@
         self._queue.remove(job)
         for task in job.tasks:
             if task.phase is jobs.Phase.SENT:
-                self._withdraw(task)
+                self._withdrawals.add(task)
 
     def pump(self) -> None:
         """Sends queued tasks while backend servers have room.
@@ -211,7 +200,7 @@
             )
         self.health.forget(server.id)
         self.speeds.forget(server.id)
-        self._forget_index()
+        self._index.forget()
         self.pump()
 
     def check_overdue(self) -> None:
@@ -253,32 +242,12 @@
     def _is_flooded(self) -> bool:
         """Returns whether far more tasks wait here than the fleet runs."""
         queued = sum(self._queue.queued_by_kind().values())
-        return queued > self._slots() * _FLOOD_ROUNDS
-
-    def _slots(self) -> int:
-        """Returns the slots of all servers, at most `_INDEX_MS` old."""
-        self._refresh()
-        if self._known_slots is None:
-            self._known_slots = sum(
-                server.announcement.slots
-                for server in self._servers_by_id.values()
-            )
-        return self._known_slots
-
-    def _refresh(self) -> None:
-        now_ms = self._clock.now_ms()
-        if now_ms - self._indexed_ms > _INDEX_MS:
-            self._indexed_ms = now_ms
-            self._forget_index()
-
-    def _forget_index(self) -> None:
-        self._servers_by_kind.clear()
-        self._known_slots = None
+        return queued > self._index.slots() * _FLOOD_ROUNDS
 
     def _burst_ms(self) -> float:
         """Returns the slot time that a team or kind may be ahead by."""
         entries = 1 + len(self._ownership.others_alive())
-        return _BURST_MS * self._slots() / entries
+        return _BURST_MS * self._index.slots() / entries
 
     def _job_key(self, job: jobs.Job) -> float:
         """Returns the time by which a job would be done if it ran alone."""
@@ -404,25 +373,7 @@
         if not cut_short:
             # A task cut short by its job's deadline is not the server's fault.
             self.health.failed(server.id, task.id, task.job.id)
-        self._fail(task, outcome, result.detail)
-
-    def _fail(
-        self, task: jobs.Task, outcome: messages.TaskOutcome, detail: str
-    ) -> None:
-        if outcome is messages.TaskOutcome.EXPIRED:
-            task.phase = jobs.Phase.ANSWERED
-            expired = "an answer is no longer kept"
-            task.job.fail(errors.Kind.ANSWER_EXPIRED, expired)
-            return
-        if outcome is messages.TaskOutcome.FAILED:
-            task.phase = jobs.Phase.FAILED
-            task.job.fail(errors.Kind.TASK_FAILED, detail)
-            return
-        task.phase = jobs.Phase.UNKNOWN
-        kind = errors.Kind.OUTCOME_UNKNOWN
-        if outcome is messages.TaskOutcome.TIMED_OUT:
-            kind = errors.Kind.TASK_TIMEOUT
-        task.job.fail(kind, detail)
+        endings.fail(task, outcome, result.detail)
 
     def _requeue(
         self,
@@ -445,22 +396,6 @@
         self._fair.finish(task, run_ms)
         self._fifo.finish(task, run_ms)
 
-    def _withdraw(self, task: jobs.Task) -> None:
-        server = self._servers_by_id.get(task.server_id)
-        if server is None or server.load <= server.announcement.slots:
-            return
-        if not self._withdrawn_by_server:
-            asyncio.get_running_loop().call_soon(self._send_withdrawals)
-        ids = self._withdrawn_by_server.setdefault(server.id, [])
-        ids.append(task.id)
-
-    def _send_withdrawals(self) -> None:
-        for server_id, task_ids in self._withdrawn_by_server.items():
-            server = self._servers_by_id.get(server_id)
-            if server is not None and server.connection is not None:
-                server.connection.send(messages.CancelTasks(tuple(task_ids)))
-        self._withdrawn_by_server.clear()
-
     def _await_room(self, placements: dict[str, choice.Choice]) -> None:
         """Makes sure that what stays queued is looked at again.
 
