--- /dev/null
+++ b/tests/executorrig.py
@@ -0,0 +1,69 @@
+"""An executor at a fake worker, with its loops."""
+
+import asyncio
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import fakeworker
+from sardineroute_core import clock
+from sardineroute_core import work
+from sardinerouted.worker import executor
+from sardinerouted.worker import ledger
+
+Test = Callable[["Rig"], Awaitable[None]]
+
+
+class Rig:
+    """An executor at a fake worker."""
+
+    def __init__(self, worker: fakeworker.FakeWorker) -> None:
+        self.worker = worker
+        self.clock = clock.Clock()
+        self.ends: list[tuple[str, int, work.Outcome]] = []
+        self.executor = executor.Executor(self.clock, worker, self._report)
+
+    def take(self, job: str, **changes: object) -> None:
+        """Orders a run of a job at the executor."""
+        now_ms = self.clock.now_ms()
+        self.executor.take(fakeworker.order(job, now_ms, **changes), "entry-1")
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
+        end_s = time.monotonic() + 5.0
+        while not holds():
+            assert time.monotonic() < end_s, self.ends
+            await asyncio.sleep(0.005)
+
+    async def watch(self) -> None:
+        """Looks after silent workers, as the sidecar does."""
+        while True:
+            await asyncio.sleep(0.05)
+            self.executor.check()
+
+    def outcomes(self) -> dict[str, work.Outcome]:
+        """Returns how the run of each job has ended."""
+        return {job: outcome for job, _, outcome in self.ends}
+
+    def _report(
+        self, run: ledger.Run, outcome: work.Outcome, run_ms: int
+    ) -> None:
+        self.ends.append((run.ref.task.job, run.ref.number, outcome))
+
+
+def run(test: Test, worker: fakeworker.FakeWorker) -> None:
+    async def main() -> None:
+        rig = Rig(worker)
+        loops = [
+            asyncio.create_task(rig.executor.renewals.renew()),
+            asyncio.create_task(rig.executor.renewals.await_ends()),
+            asyncio.create_task(rig.watch()),
+        ]
+        rig.executor.register(fakeworker.registration(worker))
+        try:
+            await test(rig)
+        finally:
+            for loop in loops:
+                loop.cancel()
+
+    asyncio.run(main())
