--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -183,11 +183,12 @@
         """
 
     def append(self, stream: str, key: str, value: bytes) -> None:
-        """Appends a record."""
+        """Appends a record; an empty value drops the key."""
 
 
 CONFIGURATION_STREAM = "configuration"
 ENTRIES_STREAM = "entries"
+WORKERS_STREAM = "workers"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/sardinerouted/dialing.py
+++ b/packages/daemon/src/sardinerouted/dialing.py
@@ -14,9 +14,9 @@
 
 _REDIAL_MIN_MS = 50
 # A process that ended is mostly back within some seconds, and is of no use
-# until the others have reached it.
-_REDIAL_SOON_MS = 250
-_SOON_MS = 10_000
+# until the others have reached it. A try costs less than 1 ms of processor.
+_REDIAL_SOON_MS = 100
+_SOON_MS = 5_000
 _REDIAL_MAX_MS = 2_000
 # An address that nobody has answered at for so long is forgotten; seeds stay.
 _FORGET_MS = 60_000
--- a/packages/daemon/src/sardinerouted/hosted/sidecar.py
+++ b/packages/daemon/src/sardinerouted/hosted/sidecar.py
@@ -24,6 +24,8 @@
 from sardinerouted.web import health
 from sardinerouted.web import options as web_options
 from sardinerouted.web import routes
+from sardinerouted.worker import executor as executors
+from sardinerouted.worker import recall
 from sardinerouted.worker import stations
 
 _POLL_MS = 50
@@ -61,10 +63,20 @@
     supervisor.start("renewals", fleet.executor.renewals.renew())
     supervisor.start("ends", fleet.executor.renewals.await_ends())
     supervisor.start("discovery", _discover(store, fleet))
+    keeper = recall.Keeper(store, options.id)
+    supervisor.start("worker's record", keeper.keep())
+    supervisor.start("recall", _recall(store, options.id, fleet.executor))
     handover = exchanges.Handover(asyncio.get_running_loop())
-    workers = adapter.workers(
-        fleet.executor.register, fleet.executor.deregister, handover
-    )
+
+    def register(registration: hosting.Registration) -> None:
+        fleet.executor.register(registration)
+        keeper.note(fleet.executor.worker)
+
+    def deregister(worker: str) -> None:
+        fleet.executor.deregister(worker)
+        keeper.note(fleet.executor.worker)
+
+    workers = adapter.workers(register, deregister, handover)
     httpd.start_all(
         [
             (
@@ -85,6 +97,14 @@
     return 0
 
 
+async def _recall(
+    store: hosting.RecordStore, key: str, executor: executors.Executor
+) -> None:
+    """Recalls the worker once; runs until canceled as all loops do."""
+    await recall.recall(store, key, executor)
+    await asyncio.Event().wait()
+
+
 async def _drain(
     options: settings.HostedSidecar, fleet: stations.Stations, time: clock.Clock
 ) -> None:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -103,6 +103,15 @@
             self.on_change()
         self.pump()
 
+    async def confirms(self, registration: hosting.Registration) -> bool:
+        """Returns whether a worker that was known before still lives."""
+        try:
+            holdings = await self._calls.hold(registration.id, 0, 0)
+        except (hosting.Unanswered, hosting.Rejected) as error:
+            _log.info("The worker did not answer.", why=str(error)[:80])
+            return False
+        return holdings.incarnation == registration.incarnation
+
     def deregister(self, worker: str) -> None:
         """Takes note that the worker has left."""
         if self.worker is None or self.worker.id != worker:
