--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -12,9 +12,9 @@
 _TROUBLE_LIMIT = 3
 # Learned slowness is off by about this share (see `worker.pace`).
 _SLOWNESS_MARGIN = 0.08
-# The tasks of a step differ by a sixth, and a job is as late as its last one:
-# with this share to spare nearly all of its tasks are on time.
-_SAFE_MARGIN = 0.3
+# The tasks of a step differ by a sixth: with so much time to spare, as a share
+# of the task's own, it is as good as surely on time.
+_AMPLE_SPARE = 0.15
 # From an end at the worker to the caller: three hops and their processing.
 _OVERHEAD_MS = 15.0
 # Most sidecars looked at for a task; the best of so many is near the best of
@@ -34,16 +34,19 @@
         start_in_ms: Expected time until it starts.
         run_ms: Expected run time.
         distance: How much of it comes from being far from the task's data.
-        on_time: Whether the job should meet its objective there.
-        is_safe: Whether it should even if the run takes longer than expected.
+        spare: Time left before the job is late, as a share of the task's.
     """
 
     sidecar: sidecars.Sidecar
     start_in_ms: float
     run_ms: float
     distance: float
-    on_time: bool
-    is_safe: bool
+    spare: float
+
+    @property
+    def on_time(self) -> bool:
+        """Returns whether the job should meet its objective there."""
+        return self.spare >= _SLOWNESS_MARGIN
 
     @property
     def end_in_ms(self) -> float:
@@ -79,7 +82,7 @@
     """Returns where a task is best sent, or None where none can run it.
 
     A worker with room where the job will surely be on time goes first, then
-    the one where the task ends first.
+    the one where it has the most time to spare, also after waiting.
     """
     able = candidates(task, fleet)
     sound = [
@@ -92,11 +95,13 @@
     drawn = _draw(task, sound or able)
     choices = [_choice(task, one, now_ms, far_factor) for one in drawn]
     free = [choice for choice in choices if choice.start_in_ms == 0]
-    safe = [choice for choice in free if choice.is_safe]
-    if safe:
-        return _spare_fast(safe, task.job.queue.priority)
+    ample = [choice for choice in free if choice.spare >= _AMPLE_SPARE]
+    if ample:
+        return _spare_fast(ample, task.job.queue.priority)
     timely = [choice for choice in choices if choice.on_time]
-    return min(timely or free or choices, key=lambda c: c.end_in_ms)
+    if timely:
+        return max(timely, key=lambda choice: choice.spare)
+    return min(free or choices, key=lambda choice: choice.end_in_ms)
 
 
 def _draw(
@@ -121,15 +126,9 @@
     distance = sidecar.distance(task.step.data_rack, far_factor)
     run_ms = sidecar.run_ms(task.estimate_ms) * distance
     left_ms = task.job.objective_ms - now_ms - _OVERHEAD_MS
-    spare_ms = left_ms - start_in_ms
-    return Choice(
-        sidecar,
-        start_in_ms,
-        run_ms,
-        distance,
-        on_time=run_ms * (1 + _SLOWNESS_MARGIN) <= spare_ms,
-        is_safe=run_ms * (1 + _SAFE_MARGIN) <= spare_ms,
-    )
+    end_in_ms = start_in_ms + run_ms
+    spare = (left_ms - end_in_ms) / end_in_ms
+    return Choice(sidecar, start_in_ms, run_ms, distance, spare)
 
 
 def _spare_fast(timely: list[Choice], priority: int) -> Choice:
--- a/packages/daemon/src/sardinerouted/worker/pace.py
+++ b/packages/daemon/src/sardinerouted/worker/pace.py
@@ -5,8 +5,12 @@
 from sardineroute_core import clock
 
 # Runs that the learned slowness remembers; the estimates of a single run are
-# off by 40 %, so 12 of them leave about 12 %.
-_MEMORY_RUNS = 12
+# off by 40 %, and those of a job are off alike: 60 runs leave about 8 %.
+_MEMORY_RUNS = 60
+# The last few runs take its place where they differ by this factor: the worker
+# has become slow, or sound again.
+_RECENT_RUNS = 4
+_SHIFT = math.log(1.6)
 # A run past this many times its expected length counts as stuck: two to three
 # standard deviations of the estimates, and five where runs that started
 # later have ended, so that the worker works.
@@ -23,15 +27,39 @@
 _MAX_RATIO = 50.0
 
 
+class _Mean:
+    """A mean over about the last values.
+
+    Args:
+        memory: Values that it remembers.
+        weight: Values of 0 that it begins with.
+    """
+
+    def __init__(self, memory: int, weight: int = 0) -> None:
+        self._memory = memory
+        self._weight = weight
+        self.value = 0.0
+
+    def add(self, value: float) -> None:
+        """Takes a value."""
+        self._weight = min(self._weight + 1, self._memory)
+        self.value += (value - self.value) / self._weight
+
+    def take(self, other: "_Mean") -> None:
+        """Goes on from another mean."""
+        self._weight = other._weight
+        self.value = other.value
+
+
 class Pace:
     """The slowness of one worker: run time over the callers' estimates."""
 
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
-        self._log_ratio = 0.0
+        self._usual = _Mean(_MEMORY_RUNS, weight=1)
+        self._recent = _Mean(_RECENT_RUNS)
         self._slowness = 1.0
         self._newest_done_start_ms = 0
-        self._weight = 0.0
         self._trouble = 0.0
         self._trouble_ms = time.now_ms()
 
@@ -46,10 +74,11 @@
         if estimate_ms <= 0:
             return
         ratio = min(max(run_ms / estimate_ms, _MIN_RATIO), _MAX_RATIO)
-        self._weight = min(self._weight + 1.0, _MEMORY_RUNS)
-        error = math.log(ratio) - self._log_ratio
-        self._log_ratio += error / (self._weight + 1.0)
-        self._slowness = math.exp(self._log_ratio)
+        self._usual.add(math.log(ratio))
+        self._recent.add(math.log(ratio))
+        if abs(self._recent.value - self._usual.value) > _SHIFT:
+            self._usual.take(self._recent)
+        self._slowness = math.exp(self._usual.value)
         self._set_trouble(max(0.0, self.trouble() - _RELIEF))
 
     def fail(self) -> None:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -147,3 +147,24 @@
         if number % 10 == 0:
             rig.pace.fail()
     assert rig.report().trouble < 3
+
+
+def test_few_runs_change_little_of_a_speed_that_was_learned() -> None:
+    rig = Rig()
+    for _ in range(60):
+        rig.pace.learn(200, NOW_MS - 200, 200)
+    for _ in range(3):
+        rig.pace.learn(200, NOW_MS - 200, 280)
+    assert rig.pace.slowness < 1.05
+
+
+def test_worker_that_turns_slow_is_known_as_such_within_a_few_runs() -> None:
+    rig = Rig()
+    for _ in range(60):
+        rig.pace.learn(200, NOW_MS - 200, 200)
+    for _ in range(4):
+        rig.pace.learn(200, NOW_MS - 1_000, 1_000)
+    assert rig.pace.slowness > 2.0
+    for _ in range(6):
+        rig.pace.learn(200, NOW_MS - 200, 200)
+    assert rig.pace.slowness < 1.5
