--- a/packages/daemon/src/sardinerouted/dispatching/desk.py
+++ b/packages/daemon/src/sardinerouted/dispatching/desk.py
@@ -28,7 +28,7 @@
 _STALL_MS = 300
 _RETRY_AFTER_MS = 1_000
 # A job that no worker in reach can run is refused after this share of its
-# objective.
+# objective, but not while more workers are expected to appear.
 _PATIENCE_SHARE = 0.25
 _BUSY_RETRY_MS = 30
 # The run did not start since one of another try of the job was there.
@@ -328,9 +328,10 @@
             self._place_queued(job)
             return
         self._admit(job)
-        patience_ms = job.objective_ms - job.received_ms
+        patience_ms = self._worthless_ms(job) - job.received_ms
         if now_ms >= self._warm_ms:
-            patience_ms = int(_PATIENCE_SHARE * patience_ms)
+            aim_ms = job.objective_ms - job.received_ms
+            patience_ms = int(_PATIENCE_SHARE * aim_ms)
         if not job.may_have_run and now_ms - job.received_ms > patience_ms:
             self._give_up(job, "no worker can run it")
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -228,6 +228,22 @@
     asyncio.run(main())
 
 
+def test_fresh_entry_holds_a_job_while_it_is_worth_finishing_late() -> None:
+    async def main() -> None:
+        worker = fakeworker.FakeWorker()
+        async with hostedrig.fleet(1, [], warm_up_ms=2_000) as rig:
+            waiting = asyncio.create_task(
+                rig.entries[0].submit("job", estimate_ms=50)
+            )
+            # Past its objective of 400 ms, within three times that.
+            await asyncio.sleep(0.7)
+            rig.workers.append(worker)
+            rig.add_sidecar(0)
+            assert await waiting == "completed"
+
+    asyncio.run(main())
+
+
 def test_steps_run_after_those_they_name() -> None:
     async def main() -> None:
         worker = fakeworker.FakeWorker()
