--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -5,6 +5,8 @@
 import socket
 import time
 
+import pytest
+
 import fakeworker
 import hostedrig
 from sardineroute_core import hosting
@@ -213,30 +215,23 @@
     asyncio.run(main())
 
 
-def test_fresh_entry_holds_a_job_until_workers_have_appeared() -> None:
-    async def main() -> None:
-        worker = fakeworker.FakeWorker()
-        async with hostedrig.fleet(1, [], warm_up_ms=2_000) as rig:
-            waiting = asyncio.create_task(
-                rig.entries[0].submit("job", estimate_ms=200)
-            )
-            await asyncio.sleep(0.3)
-            rig.workers.append(worker)
-            rig.add_sidecar(0)
-            assert await waiting == "completed"
-
-    asyncio.run(main())
-
-
-def test_fresh_entry_holds_a_job_while_it_is_worth_finishing_late() -> None:
+@pytest.mark.parametrize(
+    ("estimate_ms", "appears_after_s"),
+    [
+        pytest.param(200, 0.3, id="within its objective of 700 ms"),
+        pytest.param(50, 0.7, id="within three times that of 400 ms"),
+    ],
+)
+def test_fresh_entry_holds_a_job_until_workers_have_appeared(
+    estimate_ms: int, appears_after_s: float
+) -> None:
     async def main() -> None:
         worker = fakeworker.FakeWorker()
         async with hostedrig.fleet(1, [], warm_up_ms=2_000) as rig:
             waiting = asyncio.create_task(
-                rig.entries[0].submit("job", estimate_ms=50)
+                rig.entries[0].submit("job", estimate_ms=estimate_ms)
             )
-            # Past its objective of 400 ms, within three times that.
-            await asyncio.sleep(0.7)
+            await asyncio.sleep(appears_after_s)
             rig.workers.append(worker)
             rig.add_sidecar(0)
             assert await waiting == "completed"
