Start tasks of a restarted sidecar again, and never tell a possible run as not run

Cause: an entry kept renewing its lease at a sidecar for tasks that the sidecar's previous process had; the time at which they may be started elsewhere moved on with each renewal, so that their jobs waited for their deadlines. A second start request that was refused or found no connection was told as never started, though the first one had no answer. A start left after its run had ended or been stopped; messages of a replaced connection were still carried out; a new sidecar process extended the leases of the runs that it found. Change: tasks of a previous process are detached with the end of their leases; the retry's refusal leads to a stop; the lease is renewed only for the sidecar's own runs.

--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -69,6 +69,8 @@
             self.sidecars_by_id[peer.id] = sidecar
         restarted = sidecar.incarnation != peer.incarnation
         self._mark_tasks_lost(sidecar)
+        if restarted:
+            self._detach_tasks(sidecar)
         sidecar.connect(connection)
         _log.info("Sidecar connected.", sidecar=peer.id, restarted=restarted)
         try:
@@ -130,6 +132,13 @@
             if sidecar is not None and sidecar.connection is not None:
                 sidecar.connection.send(runmessages.StopRuns(tuple(rows)))
 
+    def lost_until_ms(self, task: jobs.Task) -> int:
+        """Returns the time by which the run of a lost task has ended."""
+        sidecar = self.sidecars_by_id.get(task.sidecar_id)
+        if sidecar is not None and sidecar.tasks_by_id.get(task.id) is task:
+            return sidecar.leases_expired_ms
+        return task.lost_until_ms
+
     def forget_task(self, task: jobs.Task) -> None:
         """Removes a task from the sidecar that it was sent to."""
         sidecar = self.sidecars_by_id.get(task.sidecar_id)
@@ -202,6 +211,16 @@
                 del sidecar.tasks_by_id[task.id]
                 self._on_run_end(task, work.Outcome.UNKNOWN, 0, sidecar)
 
+    def _detach_tasks(self, sidecar: sidecars.Sidecar) -> None:
+        """Removes the tasks of a sidecar's previous process.
+
+        The new process doesn't have their runs. Renewing its lease for them
+        would postpone the time at which they may be started elsewhere.
+        """
+        for task in sidecar.tasks_by_id.values():
+            task.lost_until_ms = sidecar.leases_expired_ms
+        sidecar.tasks_by_id.clear()
+
     def _mark_tasks_lost(self, sidecar: sidecars.Sidecar) -> None:
         for task in list(sidecar.tasks_by_id.values()):
             if task.job.has_ended:
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -60,6 +60,8 @@
         capacity_refusals: Number of times that a sidecar returned it for lack
             of capacity.
         possible_runs: Number of runs that started or may have started.
+        lost_until_ms: When its run has ended at the latest, once the sidecar's
+            process that had it is gone.
         span: Trace span from its start message to its end.
     """
 
@@ -79,6 +81,7 @@
     retries: int = 0
     capacity_refusals: int = 0
     possible_runs: int = 0
+    lost_until_ms: int = 0
     span: traces.Span = traces.NO_SPAN
 
 
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -164,9 +164,14 @@
                     stalled_ms=stalled_ms,
                 )
                 continue
-            self.fleet.check()
-            for job in list(self._jobs_by_id.values()):
-                self._check_job(job, now_ms)
+            self.check()
+
+    def check(self) -> None:
+        """Checks connections, leases and jobs once."""
+        now_ms = self._clock.now_ms()
+        self.fleet.check()
+        for job in list(self._jobs_by_id.values()):
+            self._check_job(job, now_ms)
 
     async def _wait_for_end(
         self, job: jobs.Job, caller: socket.socket | None
@@ -351,8 +356,7 @@
         """Requeues lost tasks, stops stuck ones and places queued ones."""
         for task in list(job.tasks_by_id.values()):
             if task.phase is jobs.Phase.LOST:
-                sidecar = self.fleet.sidecars_by_id.get(task.sidecar_id)
-                if sidecar is None or now_ms >= sidecar.leases_expired_ms:
+                if now_ms >= self.fleet.lost_until_ms(task):
                     self.fleet.forget_task(task)
                     task.phase = jobs.Phase.QUEUED
             elif task.phase is jobs.Phase.PLACED:
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -15,7 +15,7 @@
 LEASE_MS = 600
 # Added to the entry's lease: the worker's lease on a clock that is 2 % slow,
 # and the time to stop a run.
-_WORKER_LEASE_MARGIN_MS = 520
+WORKER_LEASE_MARGIN_MS = 520
 # The clock offset is the largest one seen in the current and the previous
 # period of this length.
 _OFFSET_PERIOD_MS = 5_000
@@ -88,7 +88,7 @@
         and the worker's lease have expired by then, so lost tasks can safely
         be started elsewhere.
         """
-        return self.lease_renewed_ms + LEASE_MS + _WORKER_LEASE_MARGIN_MS
+        return self.lease_renewed_ms + LEASE_MS + WORKER_LEASE_MARGIN_MS
 
     def free_cpu_share(self, priority: int) -> float:
         """Returns the share of processors that is free for a priority."""
--- a/packages/daemon/src/sardinerouted/worker/calls.py
+++ b/packages/daemon/src/sardinerouted/worker/calls.py
@@ -89,11 +89,18 @@
                 raise
             why = str(error)[:80]
             _log.info("A start is retried.", **runlog.run_fields(run), why=why)
-        reply = await self._start(worker, run)
+        try:
+            reply = await self._start(worker, run)
+        except hosting.Unreached as error:
+            raise hosting.Unanswered(f"the retry failed: {error}") from error
         if reply is hosting.StartReply.OLD:
             # The first request started the run, and it has ended since. The
             # worker lists its end.
             return hosting.StartReply.STARTED
+        if reply is not hosting.StartReply.STARTED:
+            # Only the retry was refused. The first request may still be
+            # carried out.
+            raise hosting.Unanswered(f"the retry was refused: {reply.value}")
         return reply
 
     async def _start(
@@ -126,22 +133,24 @@
             raise
 
     async def renew_lease(
-        self, worker: str, acknowledged: int, wait_ms: int
+        self, worker: str, acknowledged: int, wait_ms: int, extend: bool
     ) -> hosting.WorkerRuns:
-        """Renews the lease of all runs and returns the runs and their ends.
+        """Returns the worker's runs and their ends; may renew their lease.
 
         Args:
             worker: The worker's id.
             acknowledged: Sequence number of the last end received.
             wait_ms: How long the worker may wait for a run to end before it
                 answers.
+            extend: Whether to renew the lease, which covers all runs at the
+                worker.
         """
         try:
             worker_runs = await self._call(
                 self._renewal_pool,
                 self._client.renew_leases,
                 worker,
-                self._lease_until_ms(),
+                self._lease_until_ms() if extend else 0,
                 self._token,
                 acknowledged,
                 wait_ms,
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -190,6 +190,10 @@
         session = self._attach(owner, connection)
         try:
             async for message in connection.receive():
+                if session.connection is not connection:
+                    # The entry has a new connection, on which it was told
+                    # that nothing sent earlier will start.
+                    return
                 self._handle_message(session, owner, message)
         finally:
             if session.connection is connection:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -124,7 +124,9 @@
         Also False if the worker doesn't answer or has another incarnation.
         """
         try:
-            worker_runs = await self._calls.renew_lease(registration.id, 0, 0)
+            worker_runs = await self._calls.renew_lease(
+                registration.id, 0, 0, extend=False
+            )
         except (hosting.Unanswered, hosting.Rejected) as error:
             _log.info(
                 "The worker did not confirm its stored registration.",
@@ -254,6 +256,12 @@
         )
 
     async def _send_start(self, run: runtable.Run) -> None:
+        if self.runs.find(run.ref.task) is not run:
+            return
+        if run.stop_outcome is not None:
+            self.runs.requeue(run)
+            self._end(run, work.Outcome.WITHDRAWN)
+            return
         worker = self.worker
         if worker is None or self._is_too_late(run):
             self.runs.requeue(run)
@@ -300,7 +308,7 @@
         )
         self.speed.record_failure()
         run.phase = runtable.Phase.STOPPING
-        run.stop_outcome = work.Outcome.STOPPED
+        run.stop_outcome = run.stop_outcome or work.Outcome.STOPPED
         self._spawn(self._send_stop(run))
 
     def _handle_start_reply(
@@ -371,8 +379,13 @@
             return False
         sent_ms = self._clock.now_ms()
         try:
+            # Runs of an earlier sidecar process are left to lapse: the entries
+            # start their tasks elsewhere once that lease has ended.
             worker_runs = await self._calls.renew_lease(
-                worker.id, self._acknowledged_sequence, wait_ms
+                worker.id,
+                self._acknowledged_sequence,
+                wait_ms,
+                extend=bool(self.runs.active()),
             )
         except hosting.Unanswered:
             workermetrics.count_unanswered_renewal()
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from typing import Any
 
 import pytest
 
@@ -304,3 +305,85 @@
         assert rig.executor.speed.failure_score() > 0.5
 
     executorrig.run(test, fakeworker.FakeWorker(run_ms=5_000))
+
+
+@pytest.mark.parametrize("second", ["full", "unreached"])
+def test_retry_refused_after_an_unanswered_start_is_not_told_as_not_run(
+    second: str,
+) -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+    worker.lost_starts = 1
+    requests: list[hosting.RunRef] = []
+    start = worker.start
+
+    def start_once(
+        name: str, run: hosting.RunRef, *arguments: Any
+    ) -> tuple[hosting.StartReply, int | None]:
+        requests.append(run)
+        if len(requests) > 1 and second == "unreached":
+            raise hosting.Unreached("connection refused")
+        if len(requests) > 1:
+            return hosting.StartReply.FULL, worker.clock_ms()
+        return start(name, run, *arguments)
+
+    worker.start = start_once  # type: ignore[method-assign]
+    worker.mute_stops = 3
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await rig.wait_until(lambda: len(requests) == 2)
+        await asyncio.sleep(0.03)
+        # The first request may still be carried out until a stop is confirmed.
+        assert rig.ends == []
+        await rig.wait_until(lambda: bool(rig.ends))
+        assert worker.replay() == [hosting.StartReply.OLD]
+        assert len(requests) == 2
+
+    executorrig.run(test, worker)
+
+
+def test_leases_of_runs_of_an_earlier_process_are_not_extended() -> None:
+    worker = fakeworker.FakeWorker()
+    leftover = hosting.RunRef(work.TaskId("left-over", 0, 0), 1)
+    lease_until_ms = worker.clock_ms() + 400
+    worker.lease_until_ms = lease_until_ms
+    worker.running[leftover] = time.monotonic() + 10
+    worker.mute_stops = 1_000
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await asyncio.sleep(0.3)
+        assert worker.lease_until_ms == lease_until_ms
+        await rig.wait_until(lambda: leftover not in worker.running)
+
+    executorrig.run(test, worker)
+
+
+def test_run_that_ended_before_its_start_was_sent_is_not_sent() -> None:
+    worker = fakeworker.FakeWorker()
+
+    async def test(rig: executorrig.Rig) -> None:
+        await rig.wait_until(lambda: rig.executor.runs.has_listing)
+        rig.submit("job-1")
+        rig.executor.deregister("w-1")
+        rig.executor.register(fakeworker.registration(worker, sequence=2))
+        await asyncio.sleep(0.1)
+        assert rig.outcomes() == {"job-1": work.Outcome.LAPSED}
+        assert not worker.starts
+
+    executorrig.run(test, worker)
+
+
+def test_run_that_is_stopped_before_its_start_was_sent_is_withdrawn() -> None:
+    worker = fakeworker.FakeWorker()
+
+    async def test(rig: executorrig.Rig) -> None:
+        await rig.wait_until(lambda: rig.executor.runs.has_listing)
+        rig.submit("job-1")
+        (run,) = rig.executor.runs
+        rig.executor.stop(run, work.Outcome.STOPPED)
+        await rig.wait_until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.WITHDRAWN}
+        assert not worker.starts
+
+    executorrig.run(test, worker)
