Let no malformed message or unexpected error end a process

Cause: an unreadable record, address or number raised an error that the callers of the decoder didn't expect; in a supervised loop, or in the task that keeps a stream open, it ended the process.

--- a/packages/core/src/sardineroute_core/streams.py
+++ b/packages/core/src/sardineroute_core/streams.py
@@ -20,6 +20,7 @@
 
 from sardineroute_core import clock
 from sardineroute_core import codec
+from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import metrics
 from sardineroute_core import settings
@@ -27,6 +28,8 @@
 _READ_BYTES = 262_144
 _NONCE_BYTES = 16
 
+_log = logs.get_logger("streams")
+
 
 class ConnectionLost(Exception):
     """Raised when a stream is closed, broken or not authenticated."""
@@ -139,6 +142,7 @@
         except (
             codec.MalformedMessage,
             msgpack.UnpackException,
+            RecursionError,
             ValueError,
         ) as error:
             self._writer.close()
@@ -152,7 +156,11 @@
         if not data:
             raise ConnectionLost("closed by peer")
         self.last_received_ms = self._clock.now_ms()
-        self._unpacker.feed(data)
+        try:
+            self._unpacker.feed(data)
+        except msgpack.BufferFull as error:
+            self._writer.close()
+            raise ConnectionLost("a message is too large") from error
 
 
 Handler = Callable[[Connection], Awaitable[None]]
@@ -179,7 +187,11 @@
                 server_hostname=address.hostname if options.tls else None,
             )
             connection = Connection(reader, writer, time)
-            await _client_handshake(connection, options.secret, identity)
+            try:
+                await _client_handshake(connection, options.secret, identity)
+            except BaseException:
+                connection.abort()
+                raise
             return connection
     except (TimeoutError, OSError) as error:
         raise ConnectionLost(f"connecting failed: {error!r}") from error
@@ -208,6 +220,12 @@
             await handle(connection)
         except (ConnectionLost, TimeoutError):
             pass
+        except Exception:  # noqa: BLE001 - ends this stream, not the process
+            _log.exception(
+                "A stream failed; closing it.",
+                peer=connection.peer.id,
+                role=connection.peer.role.value,
+            )
         except asyncio.CancelledError:
             # The process is stopping. Raised from here, the cancellation would
             # be logged by the event loop.
--- a/packages/daemon/src/sardinerouted/dialing.py
+++ b/packages/daemon/src/sardinerouted/dialing.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
 
 from sardineroute_core import clock
 from sardineroute_core import logs
@@ -55,6 +56,12 @@
         for address in addresses:
             if address in self._tasks_by_address:
                 continue
+            if not _is_valid(address):
+                _log.warning(
+                    "Ignoring an invalid entry address.",
+                    address=repr(address)[:80],
+                )
+                continue
             if len(self._tasks_by_address) >= _MAX_ENTRIES:
                 _log.warning(
                     "Ignoring an entry address: too many are known.",
@@ -124,9 +131,23 @@
                 entry=peer,
                 why=str(error)[:80],
             )
+        except Exception:  # noqa: BLE001 - ends this stream, not the process
+            _log.exception("A stream failed; closing it.", entry=peer)
         finally:
             connection.abort()
         return True
 
     def _is_seed(self, address: Address) -> bool:
         return address in self._options.seed_addresses()
+
+
+def _is_valid(address: Any) -> bool:
+    """Returns whether an address from another process can be dialed."""
+    if not isinstance(address, tuple) or len(address) != 2:
+        return False
+    host, port = address
+    try:
+        settings.Address.model_validate({"host": host, "port": port})
+    except ValueError:
+        return False
+    return isinstance(host, str) and port > 0
--- a/packages/daemon/src/sardinerouted/hosted/discovery.py
+++ b/packages/daemon/src/sardinerouted/hosted/discovery.py
@@ -67,7 +67,13 @@
         try:
             document = json.loads(record.value)
             addresses.append((str(document["host"]), int(document["port"])))
-        except (ValueError, KeyError, TypeError) as error:
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            OverflowError,
+            RecursionError,
+        ) as error:
             _log.warning(
                 "Skipping an invalid announcement.",
                 key=record.key,
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -25,6 +25,8 @@
         status: Status of all responses; 0 for the regular ones.
         refused_reads: Number of reads of the store that are still refused.
         silent: Whether requests get no response.
+        newest_page: If set, the body of the responses to reads of the newest
+            records.
         worker_calls: Path, body and `Target-Instance` of the calls to the
             worker.
         worker_reply: Status and body of the responses to calls to the worker.
@@ -38,6 +40,7 @@
         self.status = 0
         self.refused_reads = 0
         self.silent = False
+        self.newest_page: bytes | None = None
         self.worker_calls: list[tuple[str, dict[str, Any], str]] = []
         self.worker_reply: tuple[int, Any] = (200, {"clockMs": 5})
         self.worker: fakeworker.FakeWorker | None = None
@@ -159,6 +162,8 @@
     path, _, text = target.partition("?")
     query = dict(urllib.parse.parse_qsl(text))
     records = platform.partitions.get(query["topic"], [])
+    if path == "/v1/log-newest" and platform.newest_page is not None:
+        return 200, platform.newest_page
     if path == "/v1/log-newest":
         newest = {
             key: (value, offset) for offset, (key, value) in enumerate(records)
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -28,7 +28,7 @@
     priority=0,
     max_attempts=3,
 )
-_SECRET = "a secret of sixteen"
+SECRET = "a secret of sixteen"
 
 
 class Entry:
@@ -139,7 +139,7 @@
                 "metrics": "127.0.0.1:1",
                 "worker": "127.0.0.1:1",
                 "control": "127.0.0.1:1",
-                "streams": {"listen": "127.0.0.1:0", "secret": _SECRET},
+                "streams": {"listen": "127.0.0.1:0", "secret": SECRET},
             }
         )
         identity = streams.Identity(
@@ -206,5 +206,5 @@
 
 def _streams(port: int) -> settings.Streams:
     return settings.Streams.model_validate(
-        {"listen": {"host": "127.0.0.1", "port": port}, "secret": _SECRET}
+        {"listen": {"host": "127.0.0.1", "port": port}, "secret": SECRET}
     )
