Say not run where the sidecars can tell that nothing has started

Cause: a job that lost its place at a full worker was answered at once with 504 and ran unknown while its other tasks were on their way, though mostly none had started. Callers got no Retry-After and sent the whole job again. Change: its runs are stopped first; the answer follows the first run that is known to have started, or the last one that is known not to, within 200 ms.

--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -137,6 +137,8 @@
         self.objective_ms = now_ms + int(
             queue.objective_ms(_critical_path_ms(request.steps, estimates_ms))
         )
+        self.withdrawal_reason = ""
+        self.withdrawn_by_ms = 0
         self.used_sidecar_ids: set[str] = set()
         self.load_age_ms = 0
         self.span = traces.start_span("run job", request.traceparent)
@@ -155,6 +157,27 @@
         """Returns whether any task may have started."""
         return any(task.possible_runs for task in self.tasks_by_id.values())
 
+    @property
+    def is_being_withdrawn(self) -> bool:
+        """Returns whether the job is given up once its runs are stopped."""
+        return bool(self.withdrawal_reason)
+
+    @property
+    def may_only_run_where_placed(self) -> bool:
+        """Returns whether only runs that are still placed may have started."""
+        return all(
+            task.possible_runs <= (1 if task.phase is Phase.PLACED else 0)
+            for task in self.tasks_by_id.values()
+        )
+
+    def placed_tasks(self) -> list[Task]:
+        """Returns the tasks that are at a connected sidecar."""
+        return [
+            task
+            for task in self.tasks_by_id.values()
+            if task.phase is Phase.PLACED
+        ]
+
     def queued_tasks(self) -> list[Task]:
         """Returns the tasks that are ready to be placed."""
         return [
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -28,6 +28,10 @@
 # expire.
 _STALL_THRESHOLD_MS = 300
 _RETRY_AFTER_MS = 1_000
+# How long a job that is given up waits for its sidecars to say whether its
+# tasks have started: several times the round trip to a sidecar and the time
+# that a worker may take to stop a run.
+_WITHDRAWAL_TIMEOUT_MS = 200
 # A job that no connected worker can run is refused after this share of its
 # objective, but not during warm-up, when more workers are expected to connect.
 _NO_WORKER_WAIT_SHARE = 0.25
@@ -282,8 +286,13 @@
                 self._place_queued(job)
             if job.has_ended:
                 self._end(job, job.state, None)
+            elif job.is_being_withdrawn:
+                self._finish_withdrawal(job)
             return
         task.phase = jobs.Phase.QUEUED
+        if job.is_being_withdrawn:
+            self._finish_withdrawal(job)
+            return
         if outcome is work.Outcome.FAILED:
             task.failures += 1
             if task.failures >= job.queue.max_attempts:
@@ -321,8 +330,8 @@
         loop.call_soon(self._place_queued, task.job)
 
     def _place_queued(self, job: jobs.Job) -> None:
-        """Places the queued tasks of a job, or aborts the job."""
-        if job.has_ended:
+        """Places the queued tasks of a job, or gives the job up."""
+        if job.has_ended or job.is_being_withdrawn:
             return
         if all(
             callers.has_disconnected(caller) for caller in job.caller_sockets
@@ -339,7 +348,7 @@
             and choice.expected_completion_ms > remaining_ms
             for _, choice in choices
         ):
-            self._abort(job, "no worker has capacity in time")
+            self._withdraw(job, "no worker has capacity in time")
             return
         for task, choice in choices:
             starts.send(task, choice, now_ms)
@@ -366,6 +375,10 @@
                 ):
                     task.avoided_sidecar_ids |= {task.sidecar_id}
                     self.fleet.stop_runs([task])
+        if job.is_being_withdrawn:
+            if now_ms >= job.withdrawn_by_ms:
+                self._abort(job, job.withdrawal_reason)
+            return
         if not job.queued_tasks():
             return
         if job.may_have_run:
@@ -388,6 +401,24 @@
         )
         self._end(job, jobs.State.CANCELLED, error)
 
+    def _withdraw(self, job: jobs.Job, reason: str) -> None:
+        """Gives a job up and stops its runs.
+
+        Where it isn't known yet whether a task has started, the sidecars tell
+        before the callers are answered.
+        """
+        if not (job.may_have_run and job.may_only_run_where_placed):
+            self._abort(job, reason)
+            return
+        job.withdrawal_reason = reason
+        job.withdrawn_by_ms = self._clock.now_ms() + _WITHDRAWAL_TIMEOUT_MS
+        self.fleet.stop_runs(job.placed_tasks())
+
+    def _finish_withdrawal(self, job: jobs.Job) -> None:
+        """Ends a withdrawn job once it is known whether a task has started."""
+        if not (job.may_have_run and job.may_only_run_where_placed):
+            self._abort(job, job.withdrawal_reason)
+
     def _abort(self, job: jobs.Job, reason: str) -> None:
         """Fails a job that won't be finished, and answers its callers."""
         if job.has_ended:
--- a/tests/offlinerig.py
+++ b/tests/offlinerig.py
@@ -87,7 +87,9 @@
         )
         await self.report()
 
-    async def report(self, free_millicores: int | None = None) -> None:
+    async def report(
+        self, free_millicores: int | None = None, run_interval_ms: int = 100
+    ) -> None:
         """Sends a load report that includes all starts sent so far."""
         free = self.cpu_millicores
         if free_millicores is not None:
@@ -101,7 +103,7 @@
                 free_gpus=0,
                 waiting=(),
                 ends=(),
-                run_interval_ms=100,
+                run_interval_ms=run_interval_ms,
                 slowness_permille=1_000,
                 trouble=0,
             )
