Follow the load of a subset of a large fleet

Cause: a sidecar reports changes of its load to all entries, at most every 12 ms times their number: at 35 entries every 420 ms, in which several entries choose the same workers. Messages and the work of a choice grew with the fleet. Change: an entry follows 48 sidecars, or as many as give each sidecar 8 followers, by rendezvous hashing, at least 3 of each label, and all of a label that jobs ask for. The others send heartbeats; they are considered where no followed worker is on time.

--- a/packages/core/src/sardineroute_core/codec.py
+++ b/packages/core/src/sardineroute_core/codec.py
@@ -68,6 +68,7 @@
     71: runmessages.CancelJob,
     72: runmessages.StartRun,
     73: runmessages.Load,
+    74: runmessages.Follow,
 }
 _CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
 _FIELDS_BY_CLASS = {
--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -118,6 +118,17 @@
     trouble: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Follow:
+    """Asks a sidecar for a report of each change of its load, or for none.
+
+    Heartbeats and the reports that answer the sender's own messages go on. A
+    new stream starts with reports.
+    """
+
+    enabled: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldRuns:
     """Lists the runs that a sidecar holds for the entry; its first message.
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -10,6 +10,7 @@
 from sardineroute_core import work
 from sardinerouted.dispatching import jobs
 from sardinerouted.dispatching import sidecars
+from sardinerouted.dispatching import subset
 
 # Several renewals fit into the lease of this entry at a sidecar.
 _RENEW_INTERVAL_MS = 150
@@ -19,6 +20,11 @@
 # Load reports of an idle sidecar are answered with a renewal at this interval,
 # which shows the sidecar that the connection works.
 _HEARTBEAT_INTERVAL_MS = 800
+# Interval of selecting the sidecars to follow. Connections break and come back
+# within it, which then changes nothing.
+_SELECT_INTERVAL_MS = 500
+# After a task that needs a label, further ones are expected for this long.
+_LABEL_WANTED_MS = 10_000
 # A disconnected sidecar without tasks is removed after this time.
 _FORGET_AFTER_MS = 60_000
 
@@ -32,24 +38,47 @@
 
     Args:
         time: The clock.
+        entry: This entry's id, which determines the sidecars that it follows.
         on_run_end: Called with the task, outcome, run time in ms and sidecar
             of each run that ended or was refused.
 
     Attributes:
         sidecars_by_id: The sidecars, connected or not.
         on_cancel: Called with the id of a job that another entry cancels.
+        entry_count: Returns the number of entries that share the sidecars.
     """
 
-    def __init__(self, time: clock.Clock, on_run_end: RunEndHandler) -> None:
+    def __init__(
+        self, time: clock.Clock, entry: str, on_run_end: RunEndHandler
+    ) -> None:
         self._clock = time
+        self._entry = entry
         self._on_run_end = on_run_end
         self.sidecars_by_id: dict[str, sidecars.Sidecar] = {}
         self.on_cancel: Callable[[str], None] = lambda job_id: None
+        self.entry_count: Callable[[], int] = lambda: 1
+        self._ranks_by_id: dict[str, bytes] = {}
+        self._wanted_until_ms_by_label: dict[str, int] = {}
+        self._selected_ms = 0
 
     def all_sidecars(self) -> list[sidecars.Sidecar]:
         """Returns all sidecars, connected or not."""
         return list(self.sidecars_by_id.values())
 
+    def split(self) -> tuple[list[sidecars.Sidecar], list[sidecars.Sidecar]]:
+        """Returns the sidecars that are followed, and the others."""
+        followed: list[sidecars.Sidecar] = []
+        others: list[sidecars.Sidecar] = []
+        for sidecar in self.sidecars_by_id.values():
+            (followed if sidecar.is_followed else others).append(sidecar)
+        return followed, others
+
+    def want_label(self, label: str) -> None:
+        """Follows all sidecars with a label for some time."""
+        self._wanted_until_ms_by_label[label] = (
+            self._clock.now_ms() + _LABEL_WANTED_MS
+        )
+
     def usable_count(self) -> int:
         """Returns the number of sidecars that can take tasks."""
         return sum(1 for sidecar in self.all_sidecars() if sidecar.is_usable)
@@ -67,6 +96,7 @@
         if sidecar is None:
             sidecar = sidecars.Sidecar(peer.id, peer.incarnation, self._clock)
             self.sidecars_by_id[peer.id] = sidecar
+            self._ranks_by_id[peer.id] = subset.rank(self._entry, peer.id)
         restarted = sidecar.incarnation != peer.incarnation
         self._mark_tasks_lost(sidecar)
         if restarted:
@@ -94,6 +124,9 @@
     def check(self) -> None:
         """Renews leases and closes connections that don't respond."""
         now_ms = self._clock.now_ms()
+        if now_ms - self._selected_ms >= _SELECT_INTERVAL_MS:
+            self._selected_ms = now_ms
+            self._select_followed(now_ms)
         for sidecar in self.all_sidecars():
             connection = sidecar.connection
             if connection is None:
@@ -102,6 +135,7 @@
                     and now_ms - sidecar.lease_renewed_ms > _FORGET_AFTER_MS
                 ):
                     del self.sidecars_by_id[sidecar.id]
+                    del self._ranks_by_id[sidecar.id]
                 continue
             if not sidecar.tasks_by_id:
                 continue
@@ -145,6 +179,25 @@
         if sidecar is not None:
             sidecar.tasks_by_id.pop(task.id, None)
 
+    def _select_followed(self, now_ms: int) -> None:
+        """Follows the selected sidecars, and no idle other ones."""
+        for label, until_ms in list(self._wanted_until_ms_by_label.items()):
+            if now_ms > until_ms:
+                del self._wanted_until_ms_by_label[label]
+        usable = [one for one in self.all_sidecars() if one.is_usable]
+        selected = subset.select(
+            self._ranks_by_id,
+            usable,
+            self.entry_count(),
+            frozenset(self._wanted_until_ms_by_label),
+        )
+        for sidecar in usable:
+            is_selected = sidecar.id in selected
+            if is_selected != sidecar.is_followed and (
+                is_selected or not sidecar.tasks_by_id
+            ):
+                sidecar.follow(is_selected)
+
     def _handle_message(
         self, sidecar: sidecars.Sidecar, message: Any, restarted: bool
     ) -> None:
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -53,6 +53,7 @@
 
     Args:
         time: The clock.
+        entry: This entry's id.
         far_factor: Factor on the run time of a task far from its data.
         warm_up_until_ms: End of the warm-up, in which more workers are
             expected to connect. Until then a job that finds no capacity is
@@ -66,6 +67,7 @@
     def __init__(
         self,
         time: clock.Clock,
+        entry: str = "",
         far_factor: float = 1.0,
         warm_up_until_ms: int = 0,
     ) -> None:
@@ -73,7 +75,7 @@
         self._far_factor = far_factor
         self._warm_up_until_ms = warm_up_until_ms
         self.routing_table: routing.Table | None = None
-        self.fleet = fleets.Fleet(time, self._handle_run_end)
+        self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
         self.fleet.on_cancel = self._cancel_local
         self._estimates = estimates.Estimates()
         self._jobs_by_id: dict[str, jobs.Job] = {}
@@ -242,7 +244,7 @@
         now_ms = self._clock.now_ms()
         try:
             for task in job.queued_tasks():
-                choice = self._choose(task, self.fleet.all_sidecars(), now_ms)
+                choice = self._choose_in_fleet(task, now_ms)
                 if choice is None:
                     continue
                 choice.sidecar.capacity.reserve(task.step.size)
@@ -253,6 +255,23 @@
                 sidecar.capacity.release_reserved()
         return choices
 
+    def _choose_in_fleet(
+        self, task: jobs.Task, now_ms: int
+    ) -> placement.Choice | None:
+        """Returns the best choice among the followed sidecars.
+
+        Without one that is on time it is the best of the whole fleet, though
+        what is known of the other sidecars is up to a heartbeat old.
+        """
+        for label in (task.step.required_label, task.step.data_rack):
+            if label:
+                self.fleet.want_label(label)
+        followed, others = self.fleet.split()
+        choice = self._choose(task, followed, now_ms)
+        if not others or (choice is not None and choice.is_on_time):
+            return choice
+        return self._choose(task, followed + others, now_ms)
+
     def _choose(
         self, task: jobs.Task, fleet: list[sidecars.Sidecar], now_ms: int
     ) -> placement.Choice | None:
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -33,6 +33,7 @@
         capacity: The worker's free capacity.
         slowness: Ratio of measured run times to estimates.
         trouble: Score of recent failures and stuck runs; 0 is healthy.
+        is_followed: Whether it reports each change of its load.
         lease_renewed_ms: When this entry's lease at the sidecar was last
             renewed.
     """
@@ -49,6 +50,7 @@
         self.capacity = capacity.Capacity()
         self.slowness = 1.0
         self.trouble = 0
+        self.is_followed = True
         self.lease_renewed_ms = 0
         self._reported_ms = 0
         self._offset_ms: int | None = None
@@ -103,6 +105,7 @@
             self.connection.abort()
         self.connection = connection
         self.incarnation = connection.peer.incarnation
+        self.is_followed = True
         self.capacity.reset()
         self._offset_ms = None
         self._previous_offset_ms = None
@@ -152,6 +155,12 @@
         self.lease_renewed_ms = now_ms
         return self.to_sidecar_clock_ms(now_ms + LEASE_MS)
 
+    def follow(self, enabled: bool) -> None:
+        """Asks for reports of load changes, or for none."""
+        if self.connection is not None:
+            self.is_followed = enabled
+            self.connection.send(runmessages.Follow(enabled))
+
     def send_start(self, task: jobs.Task, message: Any) -> None:
         """Sends the start of a task and deducts its resources.
 
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -64,7 +64,9 @@
     supervisor = supervision.Supervisor()
     supervisor.handle_loop_exceptions()
     warm_up_until_ms = time.now_ms() + _WARM_UP_MS
-    scheduler = schedulers.Scheduler(time, options.far_factor, warm_up_until_ms)
+    scheduler = schedulers.Scheduler(
+        time, options.id, options.far_factor, warm_up_until_ms
+    )
     store = adapter.record_store(options.store)
     address = options.streams.advertise or options.streams.listen
     own_address = (address.hostname, address.port)
@@ -81,6 +83,7 @@
 
     source = table_source.TableSource(store, adapter.routing_table, time, apply)
     peers.source = source
+    scheduler.fleet.entry_count = lambda: len(peers.addresses())
 
     async def serve_connection(connection: streams.Connection) -> None:
         if connection.peer.role is messages.Role.SIDECAR:
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -25,11 +25,10 @@
 _BUSY_SILENCE_MS = 450
 _IDLE_SILENCE_MS = 2_300
 _CHECK_INTERVAL_MS = 50
-# Changes of the load are sent to all entries at most once per interval. It is
-# this time multiplied by the number of entries, so that the number of messages
-# doesn't grow with the square of the number of entries. An entry whose run has
-# ended is sent the load at once.
-_LOAD_INTERVAL_MS_PER_ENTRY = 12
+# Changes of the load are sent to the followers at most once per interval. It is
+# this time multiplied by their number, so that a sidecar's messages don't grow
+# with it. An entry whose run has ended is sent the load at once.
+_LOAD_INTERVAL_MS_PER_FOLLOWER = 12
 # A lease renewal is answered with the load unless the load was sent within this
 # time.
 _MIN_LOAD_REPLY_INTERVAL_MS = 100
@@ -50,6 +49,7 @@
         starts_received: Number of starts received on that connection.
         unsent_ends: Ends of runs that happened while disconnected.
         load_sent_ms: When the load was last sent to it.
+        is_follower: Whether each change of the load is sent to it.
     """
 
     lease_end_ms: int
@@ -59,6 +59,7 @@
         default_factory=list
     )
     load_sent_ms: int = 0
+    is_follower: bool = True
 
 
 class EntrySessions:
@@ -122,12 +123,16 @@
                 self.executor.start_waiting()
 
     async def send_load_reports(self) -> None:
-        """Sends the load to all entries after changes; never returns."""
+        """Sends the load to followers after changes; never returns."""
         while True:
             await self._load_changed.wait()
             self._load_changed.clear()
-            sessions = list(self._sessions_by_owner.values())
-            pause_ms = _LOAD_INTERVAL_MS_PER_ENTRY * max(1, len(sessions))
+            sessions = [
+                session
+                for session in self._sessions_by_owner.values()
+                if session.connection is not None and session.is_follower
+            ]
+            pause_ms = _LOAD_INTERVAL_MS_PER_FOLLOWER * max(1, len(sessions))
             report = self._load_reporter.report()
             for session in sessions:
                 self._send_load(session, report)
@@ -215,6 +220,7 @@
             session.connection.abort()
         session.connection = connection
         session.starts_received = 0
+        session.is_follower = True
         for ended in session.unsent_ends:
             connection.send(ended)
         session.unsent_ends.clear()
@@ -251,6 +257,10 @@
                 and self.executor.runs.owned_by(owner)
             ):
                 self._send_load(session)
+        elif isinstance(message, runmessages.Follow):
+            session.is_follower = message.enabled
+            if message.enabled:
+                self._send_load(session)
         elif isinstance(message, runmessages.StopRuns):
             self._handle_stop_runs(owner, message)
         elif isinstance(message, runmessages.Entries):
--- a/tests/offlinerig.py
+++ b/tests/offlinerig.py
@@ -57,7 +57,11 @@
     """A sidecar that does only what the test tells it to do."""
 
     def __init__(
-        self, rig: "Rig", number: int, cpu_millicores: int, labels: tuple[str]
+        self,
+        rig: "Rig",
+        number: int,
+        cpu_millicores: int,
+        labels: tuple[str, ...],
     ) -> None:
         self._rig = rig
         self.id = f"sidecar-{number}"
@@ -150,9 +154,9 @@
 class Rig:
     """One entry's scheduler with its scripted sidecars."""
 
-    def __init__(self) -> None:
+    def __init__(self, entry: str = "entry-0") -> None:
         self.clock = clock.FakeClock()
-        self.scheduler = schedulers.Scheduler(self.clock.clock())
+        self.scheduler = schedulers.Scheduler(self.clock.clock(), entry)
         self.sidecars: list[FakeSidecar] = []
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -160,7 +164,7 @@
         self,
         count: int,
         cpu_millicores: int = 4_000,
-        labels: tuple[str] = ("a",),
+        labels: tuple[str, ...] = ("a",),
     ) -> None:
         """Connects further sidecars with idle workers."""
         for _ in range(count):
