Start nothing for a caller that has left before its request was read

Cause: an entry that was paused reads requests whose callers may have closed the connection and sent them to another entry since. It started their tasks and noticed the end of the connection only then, so that two runs of a task could overlap. Change: a new job is refused, as not run, where its caller's connection is closed.

--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -136,6 +136,14 @@
         now_ms = self._clock.now_ms()
         job = self._jobs_by_id.get(request.id)
         if job is None:
+            if callers.has_disconnected(caller):
+                # A process that was paused reads requests whose callers may
+                # have sent them elsewhere since.
+                _log.info(
+                    "Refused a request whose caller has disconnected.",
+                    job=request.id,
+                )
+                raise _overloaded_error("the caller has disconnected")
             job = self._create_job(request, queue, now_ms)
             self._jobs_by_id[request.id] = job
             self._admit(job)
--- a/tests/test_lost_processes.py
+++ b/tests/test_lost_processes.py
@@ -1,11 +1,20 @@
 """Load pattern: processes beside workers are lost and return while jobs wait.
 
-No network: the sidecars are scripted and the clock is a fake.
+Scripted sidecars and a fake clock, or fake workers on loopback.
 """
 
 import asyncio
+import socket
+from typing import Any
 
+import pytest
+
+import fakeworker
+import hostedrig
 import offlinerig
+from sardineroute_core import clock
+from sardineroute_core import errors
+from sardineroute_core import work
 from sardinerouted.dispatching import sidecars
 
 _LEASES_MS = sidecars.LEASE_MS + sidecars.WORKER_LEASE_MARGIN_MS
@@ -58,3 +67,51 @@
         assert await submission == "completed"
 
     asyncio.run(main())
+
+
+def test_request_read_after_its_caller_has_left_starts_nothing() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(1)
+        entry_side, caller_side = socket.socketpair()
+        # The process was paused, and the caller has sent the job elsewhere.
+        caller_side.close()
+        request = work.Request(
+            "job", "{}", (work.Step(1, work.Size(1_000), 200),), 5_000
+        )
+        with pytest.raises(errors.Error) as refusal:
+            await rig.scheduler.run(request, hostedrig.QUEUE, entry_side)
+        assert refusal.value.ran is errors.Ran.NO
+        assert rig.starts() == []
+        assert rig.scheduler.in_flight() == 0
+        entry_side.close()
+
+    asyncio.run(main())
+
+
+def test_messages_of_a_replaced_connection_start_nothing() -> None:
+    async def main() -> None:
+        worker = fakeworker.FakeWorker()
+        async with hostedrig.fleet(1, [worker]) as rig:
+            (sidecar,) = rig.sidecars
+            entry = rig.entries[0]
+            time = clock.FakeClock()
+            old, new = (
+                offlinerig.FakeConnection(entry.identity, time)
+                for _ in range(2)
+            )
+            serving: list[Any] = [
+                asyncio.create_task(sidecar._serve(one))  # type: ignore[arg-type]
+                for one in (old, new)
+            ]
+            await offlinerig.settle()
+            now_ms = clock.Clock().now_ms()
+            old.deliver(fakeworker.start_message("late", now_ms))
+            new.deliver(fakeworker.start_message("job", now_ms))
+            await rig.wait_until(lambda: bool(worker.starts))
+            await asyncio.sleep(0.05)
+            assert [ref.task.job for ref in worker.starts] == ["job"]
+            for task in serving:
+                task.cancel()
+
+    asyncio.run(main())
