Make the test of a replaced connection fail without its check

The fake connection dropped what arrived after it was aborted, unlike a real one. Change: the old connection still yields what has arrived. Result: without the check the test fails (late is started), with it it passes.

--- a/tests/test_lost_processes.py
+++ b/tests/test_lost_processes.py
@@ -104,9 +104,13 @@
                 asyncio.create_task(sidecar._serve(one))  # type: ignore[arg-type]
                 for one in (old, new)
             ]
+            # What has arrived on the old connection can be read after it was
+            # aborted.
+            old.abort = lambda: None  # type: ignore[method-assign]
             await offlinerig.settle()
             now_ms = clock.Clock().now_ms()
             old.deliver(fakeworker.start_message("late", now_ms))
+            await offlinerig.settle()
             new.deliver(fakeworker.start_message("job", now_ms))
             await rig.wait_until(lambda: bool(worker.starts))
             await asyncio.sleep(0.05)
