Shed load where an entry's messages arrive too late, instead of sending them again

Cause: sidecars refuse starts that arrive 120 ms late. An entry with a full link sent each of them again at once, to another sidecar, behind the same queue; and took the runs whose ends it had not heard of for stuck. Change: five late starts at three sidecars within 400 ms mean that the entry is congested: new jobs are refused at once as not run, tasks are given up at their second late start, and no run counts as stuck.

--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -59,6 +59,8 @@
         retries: Number of times that it was sent again.
         capacity_refusals: Number of times that a sidecar returned it for lack
             of capacity.
+        late_refusals: Number of times that a start message for it arrived too
+            late.
         possible_runs: Number of runs that started or may have started.
         lost_until_ms: When its run has ended at the latest, once the sidecar's
             process that had it is gone.
@@ -80,6 +82,7 @@
     expected_wait_ms: float = 0.0
     retries: int = 0
     capacity_refusals: int = 0
+    late_refusals: int = 0
     possible_runs: int = 0
     lost_until_ms: int = 0
     span: traces.Span = traces.NO_SPAN
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -10,6 +10,7 @@
 from sardineroute_core import runmessages
 from sardineroute_core import work
 from sardinerouted.dispatching import callers
+from sardinerouted.dispatching import congestion
 from sardinerouted.dispatching import estimates
 from sardinerouted.dispatching import finished_jobs
 from sardinerouted.dispatching import fleet as fleets
@@ -38,6 +39,9 @@
 # Delay before a task is sent again after the sidecar has refused it because it
 # still has a run of the task.
 _BUSY_RETRY_DELAY_MS = 30
+# A congested entry gives up a task whose start messages have arrived late this
+# often.
+_MAX_LATE_REFUSALS = 2
 # Refused because a run of another attempt of the job exists, so that the task
 # may have run.
 _OTHER_ATTEMPT_OUTCOMES = (work.Outcome.REFUSED_OLD, work.Outcome.REFUSED_BUSY)
@@ -45,6 +49,8 @@
 # have used.
 _RUN_NUMBER_STEP = 16
 
+_CONGESTED = "messages to the workers take too long"
+
 _log = logs.get_logger("jobs")
 
 
@@ -77,6 +83,7 @@
         self.routing_table: routing.Table | None = None
         self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
         self.fleet.on_cancel = self._cancel_local
+        self._congestion = congestion.Congestion()
         self._estimates = estimates.Estimates()
         self._jobs_by_id: dict[str, jobs.Job] = {}
         self._finished_jobs = finished_jobs.FinishedJobs(time)
@@ -144,6 +151,8 @@
                     job=request.id,
                 )
                 raise _overloaded_error("the caller has disconnected")
+            if self._congestion.is_congested(now_ms):
+                raise _overloaded_error(_CONGESTED)
             job = self._create_job(request, queue, now_ms)
             self._jobs_by_id[request.id] = job
             self._admit(job)
@@ -332,6 +341,18 @@
                 _BUSY_RETRY_DELAY_MS / 1_000, self._place_queued, job
             )
             return
+        elif outcome is work.Outcome.REFUSED_LATE:
+            now_ms = self._clock.now_ms()
+            task.late_refusals += 1
+            task.avoided_sidecar_ids |= {sidecar.id}
+            self._congestion.record_late_start(sidecar.id, now_ms)
+            if (
+                task.late_refusals >= _MAX_LATE_REFUSALS
+                and self._congestion.is_congested(now_ms)
+            ):
+                # Another sidecar would get it no sooner.
+                self._withdraw(job, _CONGESTED)
+                return
         elif outcome is work.Outcome.REFUSED_FULL:
             task.capacity_refusals += 1
         else:
@@ -397,7 +418,9 @@
                     task.phase = jobs.Phase.QUEUED
             elif task.phase is jobs.Phase.PLACED:
                 sidecars_by_id = self.fleet.sidecars_by_id
-                if stragglers.is_stuck(
+                if not self._congestion.is_congested(
+                    now_ms
+                ) and stragglers.is_stuck(
                     task, sidecars_by_id, now_ms, self._choose
                 ):
                     task.avoided_sidecar_ids |= {task.sidecar_id}
--- a/tests/offlinerig.py
+++ b/tests/offlinerig.py
@@ -152,12 +152,17 @@
 
 
 class Rig:
-    """One entry's scheduler with its scripted sidecars."""
+    """One entry's scheduler with its scripted sidecars.
+
+    Attributes:
+        refused: Job, index and number of the starts that a test has refused.
+    """
 
     def __init__(self, entry: str = "entry-0") -> None:
         self.clock = clock.FakeClock()
         self.scheduler = schedulers.Scheduler(self.clock.clock(), entry)
         self.sidecars: list[FakeSidecar] = []
+        self.refused: set[tuple[str, int, int]] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def add_sidecars(
