Take no waiting caller for one that has left

Cause: the check for a caller's disconnect peeks at its socket. Where the HTTP server had waited for the request's body, the socket had a timeout: the peek blocked the event loop for it and raised TimeoutError, an OSError that counted as a disconnect. A retried task ended such a job with 504, as if its caller had left; since some new jobs were refused too. Change: poll first, without waiting; peek only at a readable socket.

--- a/packages/daemon/src/sardinerouted/dispatching/callers.py
+++ b/packages/daemon/src/sardinerouted/dispatching/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import Iterator
 
@@ -10,11 +11,18 @@
     """Returns whether a caller has closed its connection."""
     if caller is None:
         return False
+    # The HTTP server's threads set a timeout on the socket. With one, recv
+    # would wait for it, and then raise TimeoutError, an OSError.
+    poll = select.poll()
     try:
+        poll.register(caller, select.POLLIN)
+        if not poll.poll(0):
+            return False
         return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return False
-    except OSError:
+    except (OSError, ValueError):
+        # ValueError: the socket was closed on this side.
         return True
 
 
