Place a task only where the slowest of its job is likely to be on time

Cause: a worker counted as having ample slack from 15 % on; the times of a job's tasks differ by a sixth, and the slowest of eight is late there every other time. In a burst short jobs went to slow workers that stood free, and came late. Change: 30 %.

--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -12,9 +12,10 @@
 _TROUBLE_LIMIT = 3
 # Typical relative error of the measured slowness (see `worker.speed`).
 _SLOWNESS_MARGIN = 0.08
-# Run times within a step differ by about a sixth. A task with this slack, as a
-# share of its own time, is almost certain to be on time.
-_AMPLE_SLACK_RATIO = 0.15
+# Run times within a step differ by about a sixth, and the slowest task of a job
+# decides. With this slack, as a share of its own time, a task is almost certain
+# to be on time, also as the slowest of eight.
+_AMPLE_SLACK_RATIO = 0.3
 # From the end of a run to the reply to the caller: three hops and processing.
 _REPLY_OVERHEAD_MS = 15.0
 # Size of the random sample of sidecars that is evaluated for a task. The best
