Log why a new job is refused, congestion, and which sidecars are followed

Cause: a job refused for congestion, and changes of what an entry believes of its link and its followed sidecars, left no line. Change: a line each, on changes only; the refusals of a new job are one function; one copy of the tests' sidecar settings.

--- a/packages/daemon/src/sardinerouted/dispatching/congestion.py
+++ b/packages/daemon/src/sardinerouted/dispatching/congestion.py
@@ -23,6 +23,11 @@
             collections.deque()
         )
 
+    @property
+    def late_start_count(self) -> int:
+        """Returns the number of late starts as of the last check."""
+        return len(self._late_starts)
+
     def record_late_start(self, sidecar_id: str, now_ms: int) -> None:
         """Records that a sidecar has refused a start as late."""
         self._late_starts.append((now_ms, sidecar_id))
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -191,12 +191,22 @@
             self.entry_count(),
             frozenset(self._wanted_until_ms_by_label),
         )
-        for sidecar in usable:
-            is_selected = sidecar.id in selected
-            if is_selected != sidecar.is_followed and (
-                is_selected or not sidecar.tasks_by_id
-            ):
-                sidecar.follow(is_selected)
+        changed = [
+            sidecar
+            for sidecar in usable
+            if (sidecar.id in selected) != sidecar.is_followed
+            and (sidecar.id in selected or not sidecar.tasks_by_id)
+        ]
+        for sidecar in changed:
+            sidecar.follow(sidecar.id in selected)
+        if changed:
+            _log.info(
+                "The followed sidecars have changed.",
+                changed=len(changed),
+                followed=sum(sidecar.is_followed for sidecar in usable),
+                usable=len(usable),
+                entries=self.entry_count(),
+            )
 
     def _handle_message(
         self, sidecar: sidecars.Sidecar, message: Any, restarted: bool
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -84,6 +84,7 @@
         self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
         self.fleet.on_cancel = self._cancel_local
         self._congestion = congestion.Congestion()
+        self._was_congested = False
         self._estimates = estimates.Estimates()
         self._jobs_by_id: dict[str, jobs.Job] = {}
         self._finished_jobs = finished_jobs.FinishedJobs(time)
@@ -143,16 +144,7 @@
         now_ms = self._clock.now_ms()
         job = self._jobs_by_id.get(request.id)
         if job is None:
-            if callers.has_disconnected(caller):
-                # A process that was paused reads requests whose callers may
-                # have sent them elsewhere since.
-                _log.info(
-                    "Refused a request whose caller has disconnected.",
-                    job=request.id,
-                )
-                raise _overloaded_error("the caller has disconnected")
-            if self._congestion.is_congested(now_ms):
-                raise _overloaded_error(_CONGESTED)
+            self._refuse_if_hopeless(request, caller, now_ms)
             job = self._create_job(request, queue, now_ms)
             self._jobs_by_id[request.id] = job
             self._admit(job)
@@ -192,9 +184,10 @@
     def check(self) -> None:
         """Checks connections, leases and jobs once."""
         now_ms = self._clock.now_ms()
+        is_congested = self._is_congested(now_ms)
         self.fleet.check()
         for job in list(self._jobs_by_id.values()):
-            self._check_job(job, now_ms)
+            self._check_job(job, now_ms, is_congested)
 
     async def _wait_for_end(
         self, job: jobs.Job, caller: socket.socket | None
@@ -209,6 +202,43 @@
         if not job.has_ended and not disconnected.done():
             self._abort(job, "the deadline has passed")
 
+    def _refuse_if_hopeless(
+        self, request: work.Request, caller: socket.socket | None, now_ms: int
+    ) -> None:
+        """Refuses a new job that nobody waits for or that would be late.
+
+        Raises:
+            errors.Error: The job is refused.
+        """
+        reason = ""
+        if callers.has_disconnected(caller):
+            # A process that was paused reads requests whose callers may have
+            # sent them elsewhere since.
+            reason = "the caller has disconnected"
+        elif self._is_congested(now_ms):
+            reason = _CONGESTED
+        if reason:
+            _log.info(
+                "Refused a new job.",
+                job=request.id,
+                why=reason,
+                late_starts=self._congestion.late_start_count,
+            )
+            raise _overloaded_error(reason)
+
+    def _is_congested(self, now_ms: int) -> bool:
+        is_congested = self._congestion.is_congested(now_ms)
+        if is_congested != self._was_congested:
+            self._was_congested = is_congested
+            _log.warning(
+                "Messages to the sidecars arrive late."
+                if is_congested
+                else "Messages to the sidecars arrive in time again.",
+                late_starts=self._congestion.late_start_count,
+                jobs=len(self._jobs_by_id),
+            )
+        return is_congested
+
     def _create_job(
         self, request: work.Request, queue: routing.Queue, now_ms: int
     ) -> jobs.Job:
@@ -409,8 +439,14 @@
         )
         return min(max_late_ms, job.deadline_ms)
 
-    def _check_job(self, job: jobs.Job, now_ms: int) -> None:
-        """Requeues lost tasks, stops stuck ones and places queued ones."""
+    def _check_job(
+        self, job: jobs.Job, now_ms: int, is_congested: bool
+    ) -> None:
+        """Requeues lost tasks, stops stuck ones and places queued ones.
+
+        While the entry is congested, no end that is overdue shows that a task
+        is stuck.
+        """
         for task in list(job.tasks_by_id.values()):
             if task.phase is jobs.Phase.LOST:
                 if now_ms >= self.fleet.lost_until_ms(task):
@@ -418,9 +454,7 @@
                     task.phase = jobs.Phase.QUEUED
             elif task.phase is jobs.Phase.PLACED:
                 sidecars_by_id = self.fleet.sidecars_by_id
-                if not self._congestion.is_congested(
-                    now_ms
-                ) and stragglers.is_stuck(
+                if not is_congested and stragglers.is_stuck(
                     task, sidecars_by_id, now_ms, self._choose
                 ):
                     task.avoided_sidecar_ids |= {task.sidecar_id}
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -28,7 +28,7 @@
     priority=0,
     max_attempts=3,
 )
-SECRET = "a secret of sixteen"
+_SECRET = "a secret of sixteen"
 
 
 class Entry:
@@ -128,20 +128,7 @@
     ) -> entrysessions.EntrySessions:
         """Starts a sidecar beside the worker with this number."""
         worker = self.workers[number]
-        options = settings.HostedSidecar.model_validate(
-            {
-                "role": "sidecar",
-                "adapter": "none",
-                "id": f"sidecar-{number}",
-                "failure_domain": "zone-1",
-                "store": "127.0.0.1:1",
-                "seed_port": 1,
-                "metrics": "127.0.0.1:1",
-                "worker": "127.0.0.1:1",
-                "control": "127.0.0.1:1",
-                "streams": {"listen": "127.0.0.1:0", "secret": SECRET},
-            }
-        )
+        options = sidecar_options(number)
         identity = streams.Identity(
             options.id, messages.Role.SIDECAR, f"{options.id}-{incarnation}"
         )
@@ -200,11 +187,29 @@
         await rig.stop()
 
 
+def sidecar_options(number: int) -> settings.HostedSidecar:
+    """Returns the settings of a sidecar that is reached by nothing else."""
+    return settings.HostedSidecar.model_validate(
+        {
+            "role": "sidecar",
+            "adapter": "none",
+            "id": f"sidecar-{number}",
+            "failure_domain": "zone-1",
+            "store": "127.0.0.1:1",
+            "seed_port": 1,
+            "metrics": "127.0.0.1:1",
+            "worker": "127.0.0.1:1",
+            "control": "127.0.0.1:1",
+            "streams": {"listen": "127.0.0.1:0", "secret": _SECRET},
+        }
+    )
+
+
 def _discard_message(message: object) -> None:
     del message
 
 
 def _streams(port: int) -> settings.Streams:
     return settings.Streams.model_validate(
-        {"listen": {"host": "127.0.0.1", "port": port}, "secret": SECRET}
+        {"listen": {"host": "127.0.0.1", "port": port}, "secret": _SECRET}
     )
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -169,7 +169,10 @@
 def test_invalid_address_is_not_dialed(address: Any) -> None:
     async def main() -> None:
         dialer = dialing.EntryDialer(
-            _options(), _identity("sidecar"), clock.Clock(), _never_serve
+            hostedrig.sidecar_options(0),
+            _identity("sidecar"),
+            clock.Clock(),
+            _never_serve,
         )
         assert not dialer.add_addresses([address])
         assert dialer.addresses == ()
@@ -177,23 +180,6 @@
     asyncio.run(main())
 
 
-def _options() -> Any:
-    return settings.HostedSidecar.model_validate(
-        {
-            "role": "sidecar",
-            "adapter": "none",
-            "id": "sidecar-0",
-            "failure_domain": "zone-1",
-            "store": "127.0.0.1:1",
-            "seed_port": 1,
-            "metrics": "127.0.0.1:1",
-            "worker": "127.0.0.1:1",
-            "control": "127.0.0.1:1",
-            "streams": {"listen": "127.0.0.1:0", "secret": hostedrig.SECRET},
-        }
-    )
-
-
 def _identity(role: str) -> streams.Identity:
     return streams.Identity(f"{role}-0", messages.Role(role), "life-0")
 
@@ -218,7 +204,7 @@
             connection.send(runmessages.StopRuns(((),)))  # type: ignore[arg-type]
             await fail(connection)
 
-        options = _options()
+        options = hostedrig.sidecar_options(0)
         server = await streams.serve(
             options.streams, _identity("entry"), clock.Clock(), fail
         )
@@ -258,7 +244,7 @@
                 await connection.receive_one()
             raise KeyError(side)
 
-        options = _options()
+        options = hostedrig.sidecar_options(0)
         server = await streams.serve(
             options.streams, _identity("entry"), clock.Clock(), accept
         )
@@ -291,7 +277,7 @@
                 lost.append(error)
                 ended.set()
 
-        options = _options()
+        options = hostedrig.sidecar_options(0)
         server = await streams.serve(
             options.streams, _identity("entry"), clock.Clock(), receive
         )
