--- a/packages/daemon/src/sardinerouted/dispatching/subset.py
+++ b/packages/daemon/src/sardinerouted/dispatching/subset.py
@@ -14,8 +14,8 @@
 
 from sardinerouted.dispatching import sidecars
 
-# With this many workers the best one is within a few percent of the best of a
-# larger fleet, and each takes a small part of a burst at one entry.
+# Enough workers for each to take a small part of a burst at one entry, and few
+# enough for frequent reports.
 _MIN_SIDECARS = 48
 # Mean number of entries that follow a sidecar at the least, so that hardly any
 # is followed by none.
