Log what a lost worker's address answered and which runs it had

The logs couldn't tell a crashed worker from a silent one, nor which runs had begun when it was lost. The first unanswered call of a series is logged with its reason, a refused connection is told from other failures, and the line about lapsed runs lists them with their age.

--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -26,6 +26,10 @@
     """Raised if no connection was made, so that the call had no effect."""
 
 
+class NotListening(Unreached):
+    """Raised if the connection was refused: no process listens there."""
+
+
 class Rejected(Exception):
     """Raised for a call that the other side refused and did not execute."""
 
@@ -135,7 +139,8 @@
     """Blocking calls to the worker beside a sidecar.
 
     All raise `Unanswered` if no reply came, `Unreached` if the call was not
-    sent, and `Rejected` if the worker refused. Lease times are in the
+    sent, `NotListening` if that was because the connection was refused, and
+    `Rejected` if the worker refused. Lease times are in the
     worker's clock. The worker refuses a fencing `token` below the highest
     that it has seen.
     """
--- a/packages/daemon/src/sardinerouted/worker/calls.py
+++ b/packages/daemon/src/sardinerouted/worker/calls.py
@@ -34,9 +34,9 @@
 class WorkerCalls:
     """Calls a `hosting.WorkerClient` in threads, for use on the event loop.
 
-    Tracks the worker's clock offset, the fencing token and the time since
-    which the worker hasn't answered. All calls raise the exceptions of
-    `hosting.WorkerClient`.
+    Tracks the worker's clock offset, the fencing token, the time since which
+    the worker hasn't answered, and whether it refuses connections. All calls
+    raise the exceptions of `hosting.WorkerClient`.
     """
 
     def __init__(self, time: clock.Clock, client: hosting.WorkerClient) -> None:
@@ -47,6 +47,7 @@
         self._token = int(system_time.time() * 1_000)
         self._offset_ms: int | None = None
         self._unanswered_since_ms: int | None = None
+        self._is_refusing = False
         self._lease_sent_ms = 0
         self._request_pool = concurrent.futures.ThreadPoolExecutor(
             _REQUEST_THREADS, thread_name_prefix="order"
@@ -67,6 +68,11 @@
             > self._lease_sent_ms + _LEASES_EXPIRED_AFTER_MS
         )
 
+    @property
+    def is_refusing(self) -> bool:
+        """Returns whether the last call found no process at the address."""
+        return self._is_refusing
+
     async def start(
         self, worker: str, run: runtable.Run, may_retry: Callable[[], bool]
     ) -> hosting.StartReply:
@@ -172,6 +178,7 @@
     def record_answer(self) -> None:
         """Records that the worker has answered or sent a heartbeat."""
         self._unanswered_since_ms = None
+        self._is_refusing = False
 
     def reset_clock(self) -> None:
         """Discards the clock offset of an earlier incarnation of the worker."""
@@ -200,9 +207,8 @@
     ) -> Any:
         try:
             result = await _in_thread(pool, function, *arguments)
-        except hosting.Unanswered:
-            if self._unanswered_since_ms is None:
-                self._unanswered_since_ms = self._clock.now_ms()
+        except hosting.Unanswered as error:
+            self._record_failure(error)
             raise
         except hosting.Rejected:
             self.record_answer()
@@ -210,6 +216,21 @@
         self.record_answer()
         return result
 
+    def _record_failure(self, error: hosting.Unanswered) -> None:
+        """Records a call without an answer; logs the first one in a row."""
+        now_ms = self._clock.now_ms()
+        refused = isinstance(error, hosting.NotListening)
+        if self._unanswered_since_ms is None or refused != self._is_refusing:
+            _log.info(
+                "The worker has not answered a call.",
+                refused=refused,
+                silent_ms=now_ms - (self._unanswered_since_ms or now_ms),
+                why=str(error)[:160],
+            )
+        if self._unanswered_since_ms is None:
+            self._unanswered_since_ms = now_ms
+        self._is_refusing = refused
+
     def _handle_rejection(self, reason: str) -> None:
         # The reason contains this word if the worker has seen a higher token.
         if "fence" in reason:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -206,7 +206,8 @@
         if self._is_silent:
             _log.warning(
                 "The worker does not answer; its runs have lapsed.",
-                runs=len(self.runs.active()),
+                refused=self._calls.is_refusing,
+                runs=runlog.active_run_rows(self.runs, self._clock.now_ms()),
             )
             self._end_all_runs()
         else:
--- a/packages/daemon/src/sardinerouted/worker/runlog.py
+++ b/packages/daemon/src/sardinerouted/worker/runlog.py
@@ -8,6 +8,9 @@
 from sardineroute_core import work
 from sardinerouted.worker import runtable
 
+# Limit on the runs that one line lists.
+_MAX_LOGGED_RUNS = 16
+
 _log = logs.get_logger("worker")
 
 
@@ -30,6 +33,26 @@
     )
 
 
+def active_run_rows(
+    runs: runtable.RunTable, now_ms: int
+) -> list[tuple[str, int, int, int]]:
+    """Returns job, step, index and age in ms of the youngest active runs.
+
+    The age counts from the confirmed start, or from the arrival of the start
+    message. The list is bounded.
+    """
+    rows = [
+        (
+            run.ref.task.job,
+            run.ref.task.step,
+            run.ref.task.index,
+            now_ms - (run.started_ms or run.received_ms),
+        )
+        for run in runs.active()
+    ]
+    return sorted(rows, key=lambda row: row[3])[:_MAX_LOGGED_RUNS]
+
+
 def log_unknown_runs(refs: Iterable[hosting.RunRef]) -> None:
     """Logs runs that the worker lists but this sidecar didn't start."""
     for ref in refs:
