--- a/tests/fakeworker.py
+++ b/tests/fakeworker.py
@@ -19,6 +19,8 @@
 
     Attributes:
         is_gone: Whether connections are refused.
+        fatal_tasks: Tasks whose start makes the worker crash.
+        crashes: Number of crashes.
         is_dark: Whether calls get no answer and are not carried out.
         mute_starts: Number of next starts that are carried out but not
             answered.
@@ -38,6 +40,8 @@
         lock: contextlib.AbstractContextManager[Any] | None = None,
     ) -> None:
         self.is_gone = False
+        self.fatal_tasks: frozenset[work.TaskId] = frozenset()
+        self.crashes = 0
         self.is_dark = False
         self.mute_starts = 0
         self.lost_starts = 0
@@ -85,11 +89,30 @@
                 self._lost_requests.append((run, lease_until_ms))
                 raise hosting.Unanswered("lost")
             reply = self._start_run(run, lease_until_ms)
+            if run.task in self.fatal_tasks:
+                self.crash()
+                raise hosting.Unanswered("connection reset")
             if self.mute_starts:
                 self.mute_starts -= 1
                 raise hosting.Unanswered("mute")
             return reply, self.clock_ms()
 
+    def crash(self) -> None:
+        """Ends the worker with all its runs; no connection is accepted."""
+        self.crashes += 1
+        self.is_gone = True
+        self.running.clear()
+        self._ended.clear()
+        self._closed_numbers_by_task.clear()
+
+    def restart(self) -> None:
+        """Starts the worker's next incarnation."""
+        self.incarnation += 1
+        self._sequence = 0
+        self.highest_token = 0
+        self.lease_until_ms = 0
+        self.is_gone = False
+
     def replay(self) -> list[hosting.StartReply]:
         """Carries out the lost starts now and returns their replies."""
         with self._lock:
@@ -162,7 +185,7 @@
 
     def _raise_if_unreachable(self) -> None:
         if self.is_gone:
-            raise hosting.Unreached("connection refused")
+            raise hosting.NotListening("connection refused")
         if self.is_dark:
             time.sleep(0.1)
             raise hosting.Unanswered("dark")
