Tell crashed workers from silent ones, and find the task that crashes them

Cause: runs that ended with their worker were retried without a count, all at once and at the same next worker, and a crash was treated as silence, so that 0.75 s passed although connections were refused at once.

Change: a sidecar takes a refused connection at its worker's address, or another incarnation there, for a crash, and tells all entries which runs it had and how old they were. Each entry draws the same conclusions: the runs that had just started are suspects, run apart from suspects of other jobs, and start apart from other runs; the one that is at a second crash is the cause, and its job fails at once, also when it is sent again elsewhere. Entries and sidecars tell each other what they know when they connect. Suspects wait while a quarter of the workers is lost or runs one.

--- a/packages/core/src/sardineroute_core/codec.py
+++ b/packages/core/src/sardineroute_core/codec.py
@@ -69,6 +69,8 @@
     72: runmessages.StartRun,
     73: runmessages.Load,
     74: runmessages.Follow,
+    75: runmessages.WorkerCrash,
+    76: runmessages.Crashes,
 }
 _CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
 _FIELDS_BY_CLASS = {
--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -13,7 +13,9 @@
     which the job still meets its objective. Waiting runs start by ascending
     `priority`, then by ascending `rank`; those whose `rank` has passed go last.
     If `may_wait` is false and the worker lacks the capacity to start the run
-    at once, the run is returned to the sender.
+    at once, the run is returned to the sender. A run that `is_suspect` is not
+    started beside a suspect run of another job, and no other run is started
+    shortly before or after it.
     """
 
     worker: str
@@ -30,6 +32,7 @@
     priority: int
     rank: int
     may_wait: bool
+    is_suspect: bool
     start_by_ms: int
     lease_ms: int
     traceparent: str
@@ -129,6 +132,31 @@
     enabled: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerCrash:
+    """Reports that a worker's process ended while it had runs.
+
+    `age_ms` is the time since the crash was noticed. `runs` has rows of job,
+    step, index, and the time in ms from the start of the run to the crash.
+    """
+
+    worker: str
+    incarnation: int
+    age_ms: int
+    runs: tuple[tuple[str, int, int, int], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crashes:
+    """Reports recent crashes, oldest first.
+
+    Entries and sidecars tell each other all that they know when they connect,
+    and sidecars tell entries of each further one.
+    """
+
+    crashes: tuple[WorkerCrash, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldRuns:
     """Lists the runs that a sidecar holds for the entry; its first message.
--- a/packages/core/src/sardineroute_core/work.py
+++ b/packages/core/src/sardineroute_core/work.py
@@ -7,11 +7,13 @@
 class Outcome(enum.IntEnum):
     """How a run ended at a worker, or why it never started.
 
-    `LAPSED` means that its lease ended or that the worker no longer has it.
+    `LAPSED` means that its lease ended or that the worker no longer has it,
+    and `CRASHED` that the worker's process ended while it had the run.
     From `REFUSED_FULL` on, the run is known not to have started: for
     `REFUSED_OLD` its number was too low, for `REFUSED_BUSY` the sidecar still
-    had another run of the task, and a `WITHDRAWN` run was stopped before its
-    start.
+    had another run of the task, a `WITHDRAWN` run was stopped before its
+    start, and for `REFUSED_ISOLATED` the worker ran another job's task that is
+    suspected of crashing workers too.
     """
 
     DONE = 1
@@ -19,6 +21,7 @@
     STOPPED = 3
     LAPSED = 4
     UNKNOWN = 5
+    CRASHED = 6
     REFUSED_FULL = 10
     REFUSED_LATE = 11
     REFUSED_LEAVING = 12
@@ -26,6 +29,7 @@
     REFUSED_OLD = 14
     REFUSED_BUSY = 15
     WITHDRAWN = 16
+    REFUSED_ISOLATED = 17
 
     @property
     def never_started(self) -> bool:
--- /dev/null
+++ b/packages/daemon/src/sardinerouted/crashes.py
@@ -0,0 +1,69 @@
+"""Recent crashes of workers, as entries and sidecars remember them."""
+
+import collections
+
+from sardineroute_core import clock
+from sardineroute_core import runmessages
+
+# A run is young at a crash that is noticed within this time after its start. A
+# task that crashes workers mostly does so right after its start.
+YOUNG_RUN_MS = 50
+# How long a crash is remembered: callers send a job again for some seconds, or
+# by hand some minutes later.
+_RETENTION_MS = 600_000
+# Limit on the remembered crashes, and so on the message that lists them.
+_MAX_CRASHES = 64
+# Limit on the runs of one crash; the youngest are kept.
+MAX_RUNS = 24
+
+
+class History:
+    """Recent crashes, bounded by age and by number."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._crashes_by_instance: collections.OrderedDict[
+            tuple[str, int], tuple[int, runmessages.WorkerCrash]
+        ] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._crashes_by_instance)
+
+    def add(self, crash: runmessages.WorkerCrash) -> bool:
+        """Adds a crash; returns whether it was not known before."""
+        instance = (crash.worker, crash.incarnation)
+        now_ms = self._clock.now_ms()
+        self._remove_old(now_ms)
+        if (
+            instance in self._crashes_by_instance
+            or crash.age_ms > _RETENTION_MS
+        ):
+            return False
+        self._crashes_by_instance[instance] = (now_ms - crash.age_ms, crash)
+        while len(self._crashes_by_instance) > _MAX_CRASHES:
+            self._crashes_by_instance.popitem(last=False)
+        return True
+
+    def message(self) -> runmessages.Crashes:
+        """Returns the message that tells a peer of all remembered crashes."""
+        now_ms = self._clock.now_ms()
+        self._remove_old(now_ms)
+        rows = sorted(
+            self._crashes_by_instance.values(), key=lambda row: row[0]
+        )
+        return runmessages.Crashes(
+            tuple(
+                runmessages.WorkerCrash(
+                    crash.worker,
+                    crash.incarnation,
+                    max(0, now_ms - at_ms),
+                    crash.runs,
+                )
+                for at_ms, crash in rows
+            )
+        )
+
+    def _remove_old(self, now_ms: int) -> None:
+        for instance, (at_ms, _) in list(self._crashes_by_instance.items()):
+            if now_ms - at_ms > _RETENTION_MS:
+                del self._crashes_by_instance[instance]
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -45,6 +45,8 @@
     Attributes:
         sidecars_by_id: The sidecars, connected or not.
         on_cancel: Called with the id of a job that another entry cancels.
+        on_crashes: Called with the crashes of workers that a sidecar reports.
+        crashes_message: Returns the message about all known crashes, or None.
         entry_count: Returns the number of entries that share the sidecars.
     """
 
@@ -56,6 +58,12 @@
         self._on_run_end = on_run_end
         self.sidecars_by_id: dict[str, sidecars.Sidecar] = {}
         self.on_cancel: Callable[[str], None] = lambda job_id: None
+        self.on_crashes: Callable[[runmessages.Crashes], None] = (
+            lambda message: None
+        )
+        self.crashes_message: Callable[[], runmessages.Crashes | None] = (
+            lambda: None
+        )
         self.entry_count: Callable[[], int] = lambda: 1
         self._ranks_by_id: dict[str, bytes] = {}
         self._wanted_until_ms_by_label: dict[str, int] = {}
@@ -102,6 +110,9 @@
         if restarted:
             self._detach_tasks(sidecar)
         sidecar.connect(connection)
+        known_crashes = self.crashes_message()
+        if known_crashes is not None:
+            connection.send(known_crashes)
         _log.info("Sidecar connected.", sidecar=peer.id, restarted=restarted)
         try:
             async for message in connection.receive():
@@ -226,6 +237,8 @@
             sidecar.worker = message
         elif isinstance(message, runmessages.CancelJob):
             self.on_cancel(message.job)
+        elif isinstance(message, runmessages.Crashes):
+            self.on_crashes(message)
 
     def _acknowledge_load(self, sidecar: sidecars.Sidecar) -> None:
         """Shows an idle sidecar that the connection works."""
--- a/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
@@ -19,6 +19,16 @@
     "Task retries by the outcome that caused them.",
     ["cause"],
 )
+_CULPRITS = prometheus_client.Counter(
+    "sardineroute_crashing_jobs",
+    "Jobs given up because their tasks crash workers, by queue.",
+    ["queue"],
+)
+
+
+def count_culprit(queue: str) -> None:
+    """Counts a job that was given up because its tasks crash workers."""
+    _CULPRITS.labels(queue).inc()
 
 
 def count_ended(outcome: str, took_ms: int) -> None:
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -126,6 +126,43 @@
     )
 
 
+def choose_isolated(
+    task: jobs.Task,
+    fleet: Iterable[sidecars.Sidecar],
+    now_ms: int,
+    far_factor: float,
+) -> Choice | None:
+    """Returns the placement that puts the fewest other runs at risk.
+
+    Workers that can start the task at once and on time are preferred, of these
+    the one with the largest free share.
+
+    Args:
+        task: A task that may crash its worker.
+        fleet: The sidecars to choose from.
+        now_ms: The current time.
+        far_factor: Factor on the run time of a task far from its data.
+    """
+    choices = [
+        _evaluate(task, sidecar, now_ms, far_factor)
+        for sidecar in candidates(task, fleet)
+        if not is_in_trouble(sidecar)
+    ]
+    startable = [choice for choice in choices if choice.expected_wait_ms == 0]
+    on_time = [choice for choice in startable if choice.is_on_time]
+    priority = task.job.queue.priority
+    if startable:
+        return max(
+            on_time or startable,
+            key=lambda choice: choice.sidecar.free_cpu_share(priority),
+        )
+    return min(
+        choices,
+        key=lambda choice: choice.expected_completion_ms,
+        default=None,
+    )
+
+
 def _sample(
     task: jobs.Task, eligible: list[sidecars.Sidecar]
 ) -> list[sidecars.Sidecar]:
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -21,6 +21,7 @@
 from sardinerouted.dispatching import sidecars
 from sardinerouted.dispatching import starts
 from sardinerouted.dispatching import stragglers
+from sardinerouted.dispatching import suspects as suspicion
 
 # A late job is worth finishing up to this multiple of its objective.
 _MAX_LATENESS_RATIO = 3.0
@@ -42,6 +43,9 @@
 # A congested entry gives up a task whose start messages have arrived late this
 # often.
 _MAX_LATE_REFUSALS = 2
+# Tasks that are suspected of crashing workers are placed only while less than
+# this share of the workers is lost or runs one of them.
+_MAX_EXPOSED_SHARE = 0.25
 # Refused because a run of another attempt of the job exists, so that the task
 # may have run.
 _OTHER_ATTEMPT_OUTCOMES = (work.Outcome.REFUSED_OLD, work.Outcome.REFUSED_BUSY)
@@ -49,6 +53,7 @@
 # have used.
 _RUN_NUMBER_STEP = 16
 
+_UNISOLATED = "a task may crash workers, and none is free to run it apart"
 _CONGESTED = "messages to the workers take too long"
 
 _log = logs.get_logger("jobs")
@@ -83,6 +88,9 @@
         self.routing_table: routing.Table | None = None
         self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
         self.fleet.on_cancel = self._cancel_local
+        self._suspects = suspicion.Suspects(time)
+        self.fleet.on_crashes = self._handle_crashes
+        self.fleet.crashes_message = self._suspects.message
         self._congestion = congestion.Congestion()
         self._was_congested = False
         self._estimates = estimates.Estimates()
@@ -141,6 +149,11 @@
         finished_state = self._finished_jobs.state_of(request.id)
         if finished_state is not None:
             return finished_state.value
+        if self._suspects.is_culprit(request.id):
+            _log.info(
+                "A job that crashes workers was sent again.", job=request.id
+            )
+            return jobs.State.FAILED.value
         now_ms = self._clock.now_ms()
         job = self._jobs_by_id.get(request.id)
         if job is None:
@@ -275,9 +288,16 @@
                 expected_ms=int(expected_completion_ms),
             )
             return
+        self._send_starts(choices)
+
+    def _send_starts(
+        self, choices: list[tuple[jobs.Task, placement.Choice]]
+    ) -> None:
         now_ms = self._clock.now_ms()
         for task, choice in choices:
-            starts.send(task, choice, now_ms)
+            starts.send(
+                task, choice, now_ms, self._suspects.is_suspect(task.id)
+            )
 
     def _plan_placements(
         self, job: jobs.Job
@@ -289,9 +309,20 @@
         choices: list[tuple[jobs.Task, placement.Choice]] = []
         reserved_sidecars: list[sidecars.Sidecar] = []
         now_ms = self._clock.now_ms()
+        isolated: list[sidecars.Sidecar] | None = None
         try:
             for task in job.queued_tasks():
-                choice = self._choose_in_fleet(task, now_ms)
+                if self._suspects.is_suspect(task.id):
+                    if isolated is None:
+                        isolated = self._isolated_sidecars(job)
+                    choice = placement.choose_isolated(
+                        task, isolated, now_ms, self._far_factor
+                    )
+                    if choice is not None:
+                        # All suspects of a job put one worker at risk.
+                        isolated = [choice.sidecar]
+                else:
+                    choice = self._choose_in_fleet(task, now_ms)
                 if choice is None:
                     continue
                 choice.sidecar.capacity.reserve(task.step.size)
@@ -319,6 +350,54 @@
             return choice
         return self._choose(task, followed + others, now_ms)
 
+    def _isolated_sidecars(self, job: jobs.Job) -> list[sidecars.Sidecar]:
+        """Returns the sidecars where suspect tasks of a job may run.
+
+        That is where one runs already, or else those without suspect tasks of
+        other jobs, unless too many workers are at risk or lost.
+        """
+        fleet = self.fleet.all_sidecars()
+        exposed = [
+            sidecar
+            for sidecar in fleet
+            if any(map(self._suspects.is_suspect, sidecar.tasks_by_id))
+        ]
+        own = [
+            sidecar
+            for sidecar in exposed
+            if any(task.job == job.request.id for task in sidecar.tasks_by_id)
+        ]
+        if own:
+            return own
+        lost = sum(sidecar.has_lost_its_worker for sidecar in fleet)
+        if lost + len(exposed) >= max(1.0, _MAX_EXPOSED_SHARE * len(fleet)):
+            return []
+        return [sidecar for sidecar in fleet if sidecar not in exposed]
+
+    def _handle_crashes(self, message: runmessages.Crashes) -> None:
+        """Draws the conclusions from crashes that a sidecar reports."""
+        for crash in message.crashes:
+            culprit = self._suspects.record(crash)
+            if culprit:
+                self._give_up_culprit(culprit, crash)
+
+    def _give_up_culprit(
+        self, job_id: str, crash: runmessages.WorkerCrash
+    ) -> None:
+        job = self._jobs_by_id.get(job_id)
+        _log.warning(
+            "A job crashes the workers that run it; it is not run again.",
+            job=job_id,
+            queue=job.queue.name if job else "",
+            known_here=job is not None,
+            crashed=self._suspects.crashes_of(job_id),
+            latest=crash.worker,
+            beside=len({row[0] for row in crash.runs}) - 1,
+        )
+        if job is not None:
+            jobmetrics.count_culprit(job.queue.name)
+            self._end(job, jobs.State.FAILED, None)
+
     def _choose(
         self, task: jobs.Task, fleet: list[sidecars.Sidecar], now_ms: int
     ) -> placement.Choice | None:
@@ -343,6 +422,7 @@
                 job.queue.name, task.step.estimate_ms, normalized_run_ms
             )
             job.record_run(task, normalized_run_ms)
+            self._suspects.record_success(task.id)
         if outcome.never_started and outcome not in _OTHER_ATTEMPT_OUTCOMES:
             task.possible_runs -= 1
         if job.has_ended:
@@ -366,7 +446,10 @@
                 return
         if outcome is work.Outcome.REFUSED_OLD:
             task.run_number += _RUN_NUMBER_STEP
-        elif outcome is work.Outcome.REFUSED_BUSY:
+        elif outcome in (
+            work.Outcome.REFUSED_BUSY,
+            work.Outcome.REFUSED_ISOLATED,
+        ):
             asyncio.get_running_loop().call_later(
                 _BUSY_RETRY_DELAY_MS / 1_000, self._place_queued, job
             )
@@ -385,7 +468,7 @@
                 return
         elif outcome is work.Outcome.REFUSED_FULL:
             task.capacity_refusals += 1
-        else:
+        elif outcome is not work.Outcome.CRASHED:
             task.avoided_sidecar_ids |= {sidecar.id}
         self._retry(task, outcome)
 
@@ -428,8 +511,24 @@
         ):
             self._withdraw(job, "no worker has capacity in time")
             return
-        for task, choice in choices:
-            starts.send(task, choice, now_ms)
+        if self._is_too_late_to_isolate(job, choices, remaining_ms):
+            self._withdraw(job, _UNISOLATED)
+            return
+        self._send_starts(choices)
+
+    def _is_too_late_to_isolate(
+        self,
+        job: jobs.Job,
+        choices: list[tuple[jobs.Task, placement.Choice]],
+        remaining_ms: int,
+    ) -> bool:
+        """Returns whether a suspect task that no worker may run is too late."""
+        placed = {task.id for task, _ in choices}
+        return any(
+            task.estimate_ms > remaining_ms
+            for task in job.queued_tasks()
+            if task.id not in placed and self._suspects.is_suspect(task.id)
+        )
 
     def _expiry_ms(self, job: jobs.Job) -> int:
         """Returns the time after which the job is not worth finishing."""
@@ -507,7 +606,7 @@
         """Fails a job that won't be finished, and answers its callers."""
         if job.has_ended:
             return
-        if job.may_have_run:
+        if job.may_have_run or self._suspects.has_crashed(job.request.id):
             error = errors.Error(
                 errors.Kind.DEADLINE_EXCEEDED, reason, errors.Ran.UNKNOWN
             )
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -67,6 +67,15 @@
             and self.worker.ready
         )
 
+    @property
+    def has_lost_its_worker(self) -> bool:
+        """Returns whether the sidecar is connected and has no worker."""
+        return (
+            self.connection is not None
+            and self.worker is not None
+            and not self.worker.id
+        )
+
     @property
     def report_age_ms(self) -> int:
         """Returns the age of the latest load report."""
--- a/packages/daemon/src/sardinerouted/dispatching/starts.py
+++ b/packages/daemon/src/sardinerouted/dispatching/starts.py
@@ -12,13 +12,16 @@
 _START_GRACE_MS = 120
 
 
-def send(task: jobs.Task, choice: placement.Choice, now_ms: int) -> None:
+def send(
+    task: jobs.Task, choice: placement.Choice, now_ms: int, is_suspect: bool
+) -> None:
     """Sends a task to the chosen sidecar; it may start from now on."""
     sidecar = choice.sidecar
     job = task.job
     latest_start_ms = int(job.objective_ms - choice.run_ms)
     may_wait = (
         choice.expected_wait_ms > 0
+        or is_suspect
         or task.capacity_refusals >= _MAX_CAPACITY_REFUSALS
     )
     start_by_ms = int(now_ms + choice.expected_wait_ms + _START_GRACE_MS)
@@ -53,6 +56,7 @@
             priority=job.queue.priority,
             rank=sidecar.to_sidecar_clock_ms(latest_start_ms),
             may_wait=may_wait,
+            is_suspect=is_suspect,
             start_by_ms=sidecar.to_sidecar_clock_ms(start_by_ms),
             lease_ms=sidecar.renew_lease(),
             traceparent=task.span.traceparent,
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -11,6 +11,7 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardineroute_core import work
+from sardinerouted import crashes
 from sardinerouted import dialing
 from sardinerouted.worker import executor
 from sardinerouted.worker import load
@@ -81,6 +82,8 @@
         self._clock = time
         self.executor = executor.Executor(time, client, self._report_end)
         self.executor.on_change = self._send_worker
+        self.executor.on_crash = self._handle_crash
+        self._crashes = crashes.History(time)
         self.executor.lease_end_of = self._lease_end_of
         self._load_reporter = load.LoadReporter(
             time, self.executor.runs, self.executor.speed
@@ -209,8 +212,8 @@
     ) -> _EntrySession:
         """Opens or resumes an entry's session on a new connection.
 
-        Sends the ends of runs that were missed, the worker, the entry's runs
-        and the load.
+        Sends the recent crashes, the ends of runs that were missed, the
+        worker, the entry's runs and the load.
         """
         session = self._sessions_by_owner.get(owner)
         if session is None:
@@ -221,6 +224,8 @@
         session.connection = connection
         session.starts_received = 0
         session.is_follower = True
+        if self._crashes:
+            connection.send(self._crashes.message())
         for ended in session.unsent_ends:
             connection.send(ended)
         session.unsent_ends.clear()
@@ -267,6 +272,9 @@
             self.add_addresses(list(message.addresses))
         elif isinstance(message, runmessages.CancelJob):
             self._handle_cancel_job(message)
+        elif isinstance(message, runmessages.Crashes):
+            for crash in message.crashes:
+                self._handle_crash(crash)
 
     def _handle_stop_runs(
         self, owner: str, message: runmessages.StopRuns
@@ -287,6 +295,15 @@
             if session is not None and session.connection is not None:
                 session.connection.send(message)
 
+    def _handle_crash(self, crash: runmessages.WorkerCrash) -> None:
+        """Tells all entries of a crash that was not known before."""
+        if not self._crashes.add(crash):
+            return
+        message = runmessages.Crashes((crash,))
+        for session in self._sessions_by_owner.values():
+            if session.connection is not None:
+                session.connection.send(message)
+
     def _report_end(
         self, run: runtable.Run, outcome: work.Outcome, run_ms: int
     ) -> None:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -10,10 +10,12 @@
 from sardineroute_core import runmessages
 from sardineroute_core import traces
 from sardineroute_core import work
+from sardinerouted import crashes
 from sardinerouted.worker import calls
 from sardinerouted.worker import renewals
 from sardinerouted.worker import runlog
 from sardinerouted.worker import runtable
+from sardinerouted.worker import spacing
 from sardinerouted.worker import speed
 from sardinerouted.worker import workermetrics
 
@@ -39,6 +41,8 @@
         draining: Whether the sidecar accepts no new runs.
         on_change: Called when the worker changes, when it begins or ceases to
             accept runs, and when its free capacity becomes known or unknown.
+        on_crash: Called when the worker's process has ended unexpectedly,
+            before the ends of its runs are reported.
         lease_end_of: Returns the end of an entry's lease, given the entry's
             incarnation.
     """
@@ -57,6 +61,9 @@
         self.worker: hosting.Registration | None = None
         self.draining = False
         self.on_change: Callable[[], None] = lambda: None
+        self.on_crash: Callable[[runmessages.WorkerCrash], None] = (
+            lambda crash: None
+        )
         self.lease_end_of: Callable[[str], int] = lambda owner: _NO_LEASE_END_MS
         self._acknowledged_sequence = 0
         self._has_unacknowledged_ends = True
@@ -69,6 +76,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._starts_paused_until_ms = 0
+        self._spacing = spacing.StartSpacing()
         self._is_silent = False
 
     @property
@@ -172,6 +180,8 @@
             self._end(run, work.Outcome.REFUSED_BY_WORKER)
         elif self._is_too_late(run):
             self._end(run, work.Outcome.REFUSED_LATE)
+        elif request.is_suspect and self.runs.has_other_suspect(request.job):
+            self._end(run, work.Outcome.REFUSED_ISOLATED)
         else:
             self.runs.add(run)
             self.start_waiting()
@@ -209,7 +219,7 @@
                 refused=self._calls.is_refusing,
                 runs=runlog.active_run_rows(self.runs, self._clock.now_ms()),
             )
-            self._end_all_runs()
+            self._end_all_runs(work.Outcome.LAPSED)
         else:
             _log.info("The worker answers again.")
         self.on_change()
@@ -222,9 +232,15 @@
                 self._end(run, work.Outcome.REFUSED_FULL)
             elif not self.accepts_runs:
                 self._end(run, work.Outcome.REFUSED_LEAVING)
-        if now_ms < self._starts_paused_until_ms:
+        if now_ms < self._starts_paused_until_ms or self._calls.is_refusing:
             return
         while (fitting := self.runs.next_fitting(now_ms)) is not None:
+            delay_ms = self._spacing.delay_ms(fitting, now_ms)
+            if delay_ms > 0:
+                self._pause_starts(delay_ms)
+                return
+            self._spacing.record_start(fitting, now_ms)
+            self.runs.held_back_until_ms = self._spacing.held_back_until_ms
             self.runs.reserve(fitting)
             self.renewals.notify_start()
             self._spawn(self._send_start(fitting))
@@ -297,6 +313,7 @@
         self.speed.record_failure()
         self.runs.requeue(run)
         self._end(run, work.Outcome.REFUSED_BY_WORKER)
+        self._check_for_crash()
 
     def _handle_unanswered_start(self, run: runtable.Run, reason: str) -> None:
         """Stops a run that may have started or may still start."""
@@ -310,7 +327,9 @@
         self.speed.record_failure()
         run.phase = runtable.Phase.STOPPING
         run.stop_outcome = run.stop_outcome or work.Outcome.STOPPED
-        self._spawn(self._send_stop(run))
+        self._check_for_crash()
+        if self.runs.find(run.ref.task) is run:
+            self._spawn(self._send_stop(run))
 
     def _handle_start_reply(
         self, run: runtable.Run, reply: hosting.StartReply
@@ -368,6 +387,7 @@
             await self._calls.stop(worker.id, ref)
         except hosting.Unanswered as error:
             _log.warning("A stop was not answered.", why=str(error)[:80])
+            self._check_for_crash()
             return False
         except hosting.Rejected as error:
             self._handle_rejection(str(error))
@@ -390,6 +410,11 @@
             )
         except hosting.Unanswered:
             workermetrics.count_unanswered_renewal()
+            self._check_for_crash()
+            if wait_ms > 0:
+                # The connection may have broken because the worker has ended;
+                # the next call shows it.
+                self.renewals.request_renewal()
             return False
         except hosting.Rejected as error:
             self._handle_rejection(str(error))
@@ -409,7 +434,7 @@
             _log.warning(
                 "A different worker answers at this address.", reason=reason
             )
-            self._remove_worker()
+            self._end_instance("another worker answers at its address")
 
     def _handle_worker_runs(
         self, worker_runs: hosting.WorkerRuns, sent_ms: int
@@ -480,9 +505,58 @@
             run.request.estimate_ms, run.started_ms, now_ms
         )
 
+    def _check_for_crash(self) -> None:
+        """Ends the worker if its address refuses connections.
+
+        It takes calls from its own host only, so no network failure between
+        them can refuse one: no process listens there any more. Start requests
+        in flight are awaited: their failure tells whether they were sent.
+        """
+        if self.worker is None or not self._calls.is_refusing:
+            return
+        if not self.runs.has_starting():
+            self._end_instance("its address refuses connections")
+
+    def _end_instance(self, evidence: str) -> None:
+        """Removes a worker whose process has ended without leaving."""
+        outcome = self._ended_outcome(evidence)
+        self.worker = None
+        self._end_all_runs(outcome)
+        self.on_change()
+
+    def _ended_outcome(self, evidence: str) -> work.Outcome:
+        """Returns how the runs of a worker whose process has ended did.
+
+        Reports a crash, unless the worker was about to leave.
+        """
+        worker = self.worker
+        if worker is None or worker.draining:
+            return work.Outcome.LAPSED
+        rows = runlog.active_run_rows(self.runs, self._clock.now_ms())
+        _log.warning(
+            "The worker has crashed.",
+            worker=worker.id,
+            incarnation=worker.incarnation,
+            evidence=evidence,
+            runs=rows,
+        )
+        workermetrics.count_crash()
+        if rows:
+            self.on_crash(
+                runmessages.WorkerCrash(
+                    worker.id,
+                    worker.incarnation,
+                    0,
+                    tuple(rows[: crashes.MAX_RUNS]),
+                )
+            )
+        return work.Outcome.CRASHED
+
     def _begin_incarnation(self, registration: hosting.Registration) -> None:
         """Resets the state; runs of an earlier incarnation ended with it."""
-        self._end_all_runs()
+        self._end_all_runs(
+            self._ended_outcome("another incarnation has registered")
+        )
         self._acknowledged_sequence = 0
         self._has_unacknowledged_ends = True
         self._newest_listing_ms = 0
@@ -493,17 +567,16 @@
 
     def _remove_worker(self) -> None:
         self.worker = None
-        self._end_all_runs()
+        self._end_all_runs(work.Outcome.LAPSED)
         self.on_change()
 
-    def _end_all_runs(self) -> None:
+    def _end_all_runs(self, outcome: work.Outcome) -> None:
+        """Ends all runs, those that have begun with the given outcome."""
         for run in self.runs:
             waiting = run.phase is runtable.Phase.WAITING
             self._end(
                 run,
-                work.Outcome.REFUSED_LEAVING
-                if waiting
-                else work.Outcome.LAPSED,
+                work.Outcome.REFUSED_LEAVING if waiting else outcome,
             )
 
     def _spawn(self, coroutine: Any) -> None:
--- a/packages/daemon/src/sardinerouted/worker/load.py
+++ b/packages/daemon/src/sardinerouted/worker/load.py
@@ -55,8 +55,11 @@
         interval_ms = typical_run_ms / slots
         free = self._runs.free
         ends = self._expected_ends(runs, now_ms)
+        blocked_ms = max(0, self._runs.held_back_until_ms - now_ms)
         if self._runs.is_blocked:
-            ends = (_row(_LISTING_DELAY_MS, free), *ends)
+            blocked_ms = max(blocked_ms, _LISTING_DELAY_MS)
+        if blocked_ms:
+            ends = (_row(blocked_ms, free), *ends)
             free = work.Size()
         return runmessages.Load(
             tick_ms=now_ms,
--- a/packages/daemon/src/sardinerouted/worker/runlog.py
+++ b/packages/daemon/src/sardinerouted/worker/runlog.py
@@ -6,11 +6,9 @@
 from sardineroute_core import hosting
 from sardineroute_core import logs
 from sardineroute_core import work
+from sardinerouted import crashes
 from sardinerouted.worker import runtable
 
-# Limit on the runs that one line lists.
-_MAX_LOGGED_RUNS = 16
-
 _log = logs.get_logger("worker")
 
 
@@ -38,19 +36,19 @@
 ) -> list[tuple[str, int, int, int]]:
     """Returns job, step, index and age in ms of the youngest active runs.
 
-    The age counts from the confirmed start, or from the arrival of the start
-    message. The list is bounded.
+    The age counts from the confirmed start and is 0 before. The list is
+    bounded.
     """
     rows = [
         (
             run.ref.task.job,
             run.ref.task.step,
             run.ref.task.index,
-            now_ms - (run.started_ms or run.received_ms),
+            now_ms - run.started_ms if run.started_ms else 0,
         )
         for run in runs.active()
     ]
-    return sorted(rows, key=lambda row: row[3])[:_MAX_LOGGED_RUNS]
+    return sorted(rows, key=lambda row: row[3])[: crashes.MAX_RUNS]
 
 
 def log_unknown_runs(refs: Iterable[hosting.RunRef]) -> None:
--- a/packages/daemon/src/sardinerouted/worker/runtable.py
+++ b/packages/daemon/src/sardinerouted/worker/runtable.py
@@ -74,6 +74,8 @@
     Attributes:
         capacity: The worker's total resources.
         has_listing: Whether the worker has listed its runs.
+        held_back_until_ms: Until when most runs may not start, because a
+            suspect run has.
         unknown_runs: Runs that the worker lists but this sidecar didn't start.
             Their size isn't known, so nothing starts beside them.
     """
@@ -81,6 +83,7 @@
     def __init__(self) -> None:
         self.capacity = work.Size()
         self.has_listing = False
+        self.held_back_until_ms = 0
         self.unknown_runs: frozenset[hosting.RunRef] = frozenset()
         self._used = work.Size()
         self._runs_by_task: dict[work.TaskId, Run] = {}
@@ -114,6 +117,16 @@
         run = self._runs_by_task.get(ref.task)
         return run is not None and run.ref == ref
 
+    def has_starting(self) -> bool:
+        """Returns whether a start request is in flight."""
+        return any(run.phase is Phase.STARTING for run in self)
+
+    def has_other_suspect(self, job: str) -> bool:
+        """Returns whether there is a suspect run of another job."""
+        return any(
+            run.request.is_suspect and run.ref.task.job != job for run in self
+        )
+
     def owned_by(self, owner: str) -> list[Run]:
         """Returns the runs requested by an entry, given by its incarnation."""
         return [run for run in self if run.owner == owner]
--- a/packages/daemon/src/sardinerouted/worker/workermetrics.py
+++ b/packages/daemon/src/sardinerouted/worker/workermetrics.py
@@ -25,6 +25,10 @@
     "sardineroute_entry_leases_lapsed",
     "Times that an entry's runs were stopped after its lease had expired.",
 )
+_CRASHES = prometheus_client.Counter(
+    "sardineroute_worker_crashes",
+    "Times that the worker's process ended without leaving first.",
+)
 
 
 def observe_start(wait_ms: int) -> None:
@@ -44,6 +48,11 @@
     _UNANSWERED.inc()
 
 
+def count_crash() -> None:
+    """Counts a crash of the worker."""
+    _CRASHES.inc()
+
+
 def count_expired_lease() -> None:
     """Counts an expired entry lease whose runs are stopped."""
     _EXPIRED_LEASES.inc()
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -104,6 +104,8 @@
 
     def __init__(self, workers: list[fakeworker.FakeWorker]) -> None:
         self.workers = workers
+        for number, worker in enumerate(workers, start=1):
+            worker.id = f"w-{number}"
         self.entries: list[Entry] = []
         self.sidecars: list[entrysessions.EntrySessions] = []
         self._tasks: list[asyncio.Task[None]] = []
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -181,7 +181,7 @@
         rig.worker.running.clear()
         rig.worker.incarnation += 1
         rig.executor.register(fakeworker.registration(rig.worker))
-        assert rig.outcomes() == {"job-1": work.Outcome.LAPSED}
+        assert rig.outcomes() == {"job-1": work.Outcome.CRASHED}
         rig.submit("meant-for-the-old")
         assert rig.outcomes()["meant-for-the-old"].never_started
         rig.submit("job-2", incarnation=rig.worker.incarnation)
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,134 @@
+"""Tests of how the jobs that crash workers are found."""
+
+import pytest
+
+from sardineroute_core import clock
+from sardineroute_core import runmessages
+from sardineroute_core import work
+from sardinerouted import crashes
+from sardinerouted.dispatching import suspects
+
+_YOUNG_MS = 5
+_OLD_MS = 900
+
+
+@pytest.fixture(name="known")
+def make_suspects() -> suspects.Suspects:
+    """Returns the conclusions of an entry that knows of no crash."""
+    return suspects.Suspects(clock.FakeClock().clock())
+
+
+def _crash(worker: int, **ages_ms: int) -> runmessages.WorkerCrash:
+    """Returns a crash of a worker with one run of each job, given by age."""
+    rows = tuple((job, 0, 0, age_ms) for job, age_ms in ages_ms.items())
+    return runmessages.WorkerCrash(f"worker-{worker}", 1, 0, rows)
+
+
+def _is_suspect(known: suspects.Suspects, job: str) -> bool:
+    return known.is_suspect(work.TaskId(job, 0, 0))
+
+
+def test_run_that_had_just_started_is_suspected_first(
+    known: suspects.Suspects,
+) -> None:
+    assert known.record(_crash(1, cause=_YOUNG_MS, other=_OLD_MS)) == ""
+    assert _is_suspect(known, "cause")
+    assert not _is_suspect(known, "other")
+
+
+def test_without_a_young_run_all_are_suspected(
+    known: suspects.Suspects,
+) -> None:
+    known.record(_crash(1, first=_OLD_MS, second=_OLD_MS))
+    assert _is_suspect(known, "first")
+    assert _is_suspect(known, "second")
+
+
+def test_the_only_suspect_of_a_second_crash_is_the_cause(
+    known: suspects.Suspects,
+) -> None:
+    known.record(_crash(1, cause=_YOUNG_MS, other=_YOUNG_MS))
+    found = known.record(_crash(2, cause=_YOUNG_MS, beside=_YOUNG_MS))
+    assert found == "cause"
+    assert known.is_culprit("cause")
+    assert known.crashes_of("cause") == ("worker-1", "worker-2")
+    # The crash is explained, and blames nobody else.
+    assert not known.has_crashed("beside")
+
+
+# Guards against giving up jobs for having stood beside the cause twice.
+def test_bystander_of_two_crashes_is_not_the_cause(
+    known: suspects.Suspects,
+) -> None:
+    known.record(_crash(1, cause=_YOUNG_MS, bystander=_YOUNG_MS))
+    assert known.record(_crash(2, cause=_YOUNG_MS)) == "cause"
+    assert known.record(_crash(3, next=_YOUNG_MS, bystander=_OLD_MS)) == ""
+    assert not known.is_culprit("bystander")
+
+
+def test_two_suspects_at_one_crash_are_tried_once_more(
+    known: suspects.Suspects,
+) -> None:
+    known.record(_crash(1, cause=_YOUNG_MS, other=_YOUNG_MS))
+    assert known.record(_crash(2, cause=_YOUNG_MS, other=_YOUNG_MS)) == ""
+    assert known.record(_crash(3, cause=_YOUNG_MS)) == "cause"
+    assert not known.is_culprit("other")
+
+
+def test_no_job_is_run_after_three_crashes_that_it_may_have_caused(
+    known: suspects.Suspects,
+) -> None:
+    known.record(_crash(1, first=_YOUNG_MS, second=_YOUNG_MS))
+    known.record(_crash(2, first=_YOUNG_MS, second=_YOUNG_MS))
+    found = known.record(_crash(3, first=1, second=_YOUNG_MS))
+    assert found == "first"
+
+
+def test_task_that_crashes_workers_late_takes_down_three_at_most(
+    known: suspects.Suspects,
+) -> None:
+    known.record(_crash(1, cause=_OLD_MS, one=_YOUNG_MS))
+    known.record(_crash(2, cause=_OLD_MS, two=_YOUNG_MS))
+    assert _is_suspect(known, "cause")
+    assert known.record(_crash(3, cause=_OLD_MS)) == "cause"
+
+
+# Guards against blaming tasks for a series of crashes that none has caused.
+def test_suspect_of_another_age_is_not_blamed_at_its_second_crash(
+    known: suspects.Suspects,
+) -> None:
+    known.record(_crash(1, job=_YOUNG_MS))
+    assert known.record(_crash(2, job=_OLD_MS, other=_OLD_MS)) == ""
+    assert not known.is_culprit("job")
+
+
+def test_suspect_that_ends_well_is_cleared(known: suspects.Suspects) -> None:
+    known.record(_crash(1, job=_YOUNG_MS))
+    known.record_success(work.TaskId("job", 0, 0))
+    assert not _is_suspect(known, "job")
+    assert known.record(_crash(2, job=_YOUNG_MS)) == ""
+
+
+def test_crash_that_several_sidecars_tell_of_counts_once(
+    known: suspects.Suspects,
+) -> None:
+    for _ in range(3):
+        assert known.record(_crash(1, job=_YOUNG_MS)) == ""
+    assert not known.is_culprit("job")
+
+
+def test_history_is_bounded_and_tells_peers_the_same() -> None:
+    time = clock.FakeClock()
+    history = crashes.History(time.clock())
+    for number in range(1_000):
+        history.add(_crash(number, job=_YOUNG_MS))
+    time.advance(500)
+    told = history.message().crashes
+    assert len(told) < 100
+    assert told[-1].worker == "worker-999"
+    assert {crash.age_ms for crash in told} == {500}
+    other = crashes.History(time.clock())
+    assert all(other.add(crash) for crash in told)
+    assert other.message() == history.message()
+    time.advance(1_000_000)
+    assert not history.message().crashes
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -5,9 +5,13 @@
 
 import asyncio
 
+import executorrig
 import fakeworker
 import hostedrig
+import offlinerig
+from sardineroute_core import runmessages
 from sardineroute_core import work
+from sardinerouted import crashes
 
 _RESTART_MS = 400
 
@@ -69,3 +73,200 @@
             restarts.cancel()
 
     asyncio.run(main())
+
+
+async def _report_crash(
+    rig: offlinerig.Rig,
+    sidecar: offlinerig.FakeSidecar,
+    *starts: runmessages.StartRun,
+) -> None:
+    """Reports that a sidecar's worker crashed with young runs."""
+    rows = tuple((run.job, run.step, run.index, 5) for run in starts)
+    sidecar.connection.deliver(
+        runmessages.Crashes((runmessages.WorkerCrash(sidecar.id, 1, 0, rows),)),
+        runmessages.Worker(
+            "", 0, "", 0, 0, 0, (), ready=False, failure_domain="zone-1"
+        ),
+    )
+    for start in starts:
+        await sidecar.end(start, work.Outcome.CRASHED)
+    await offlinerig.settle()
+
+
+def _where(rig: offlinerig.Rig, job: str, number: int) -> set[str]:
+    """Returns where the runs of a job with this number were sent."""
+    return {
+        sidecar.id
+        for sidecar in rig.sidecars
+        for start in sidecar.starts()
+        if start.job == job and start.number == number
+    }
+
+
+# Guards against retrying bystanders beside the cause: all tasks of a crashed
+# worker were placed at once, on the worker with the most free capacity.
+def test_suspects_of_two_jobs_run_at_different_workers() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(1)
+        submissions = [await rig.submit("first"), await rig.submit("second")]
+        await rig.add_sidecars(12)
+        crashed = rig.sidecars[0]
+        await _report_crash(rig, crashed, *crashed.starts())
+        await rig.advance(100)
+        first, second = _where(rig, "first", 2), _where(rig, "second", 2)
+        assert len(first) == len(second) == 1
+        assert first != second
+        for sidecar in rig.sidecars[1:]:
+            for start in sidecar.starts():
+                assert start.is_suspect
+                await sidecar.end(start, offlinerig.DONE)
+        states = await asyncio.gather(*submissions)
+        assert states == ["completed", "completed"]
+
+    asyncio.run(main())
+
+
+def test_suspects_wait_while_many_workers_are_lost() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(1)
+        submission = await rig.submit("job", estimate_ms=1_000)
+        await rig.add_sidecars(7)
+        for sidecar in rig.sidecars[2:4]:
+            await _report_crash(rig, sidecar)
+        crashed = rig.sidecars[0]
+        await _report_crash(rig, crashed, *crashed.starts())
+        await rig.advance(300)
+        assert not _where(rig, "job", 2)
+        for sidecar in (crashed, *rig.sidecars[2:4]):
+            await sidecar.connect()
+        await rig.advance(100)
+        assert _where(rig, "job", 2)
+        submission.cancel()
+
+    asyncio.run(main())
+
+
+def test_suspect_that_no_worker_may_run_in_time_is_given_up_early() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(2)
+        submission = await rig.submit("job", wait_ms=9_000)
+        (crashed,) = [one for one in rig.sidecars if one.starts()]
+        await _report_crash(rig, crashed, *crashed.starts())
+        # Its objective is 700 ms, and it is of use for up to three times that.
+        await rig.advance(2_200)
+        # It has run, so it is not told as not run.
+        assert await submission == "deadline_exceeded unknown"
+
+    asyncio.run(main())
+
+
+# Guards against counts that are lost with the entry that made them.
+def test_job_that_crashed_two_workers_is_not_run_by_a_fresh_entry() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(3)
+        sidecar = rig.sidecars[0]
+        for worker in ("w-1", "w-2"):
+            crash = runmessages.WorkerCrash(
+                worker, 1, 3_000, (("job", 0, 0, 5),)
+            )
+            sidecar.connection.deliver(runmessages.Crashes((crash,)))
+        await offlinerig.settle()
+        assert await (await rig.submit("job")) == "failed"
+        assert not rig.starts()
+        # It tells what it knows to a sidecar that has been restarted.
+        await rig.sidecars[1].connect(incarnation=1)
+        (told,) = [
+            message
+            for message in rig.sidecars[1].connection.sent
+            if isinstance(message, runmessages.Crashes)
+        ]
+        assert [crash.worker for crash in told.crashes] == ["w-1", "w-2"]
+
+    asyncio.run(main())
+
+
+def test_restarted_sidecar_learns_of_crashes_and_tells_them() -> None:
+    async def main() -> None:
+        worker = fakeworker.FakeWorker(run_ms=2_000)
+        async with hostedrig.fleet(2, [worker]) as rig:
+            (sidecar,) = rig.sidecars
+            crash = runmessages.WorkerCrash("w-9", 1, 0, (("job", 0, 0, 5),))
+            first, second = (
+                entry.scheduler.fleet.sidecars_by_id["sidecar-0"].connection
+                for entry in rig.entries
+            )
+            assert first is not None
+            first.send(runmessages.Crashes((crash,)))
+            await rig.wait_until(
+                lambda: (
+                    rig.entries[1].scheduler.fleet.crashes_message() is not None
+                )
+            )
+            assert sidecar.connected_entries == 2
+
+    asyncio.run(main())
+
+
+def test_no_other_run_starts_shortly_before_or_after_a_suspect() -> None:
+    worker = fakeworker.FakeWorker(run_ms=500)
+    started_ms: dict[str, int] = {}
+
+    async def test(rig: executorrig.Rig) -> None:
+        worker.on_start = lambda run: started_ms.setdefault(
+            run.task.job, rig.clock.now_ms()
+        )
+        rig.submit("before")
+        await rig.wait_until(lambda: len(started_ms) == 1)
+        rig.submit("suspect", is_suspect=True)
+        rig.submit("another", is_suspect=True)
+        await rig.wait_until(lambda: len(started_ms) == 2)
+        rig.submit("after")
+        await rig.wait_until(lambda: len(started_ms) == 3)
+        apart_ms = crashes.YOUNG_RUN_MS - 10
+        assert started_ms["suspect"] - started_ms["before"] >= apart_ms
+        assert started_ms["after"] - started_ms["suspect"] >= apart_ms
+        # One suspect at a time.
+        assert rig.outcomes()["another"] is work.Outcome.REFUSED_ISOLATED
+
+    executorrig.run(test, worker)
+
+
+def test_end_of_a_leaving_worker_is_no_crash() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: executorrig.Rig) -> None:
+        reported: list[runmessages.WorkerCrash] = []
+        rig.executor.on_crash = reported.append
+        rig.submit("job-1")
+        await rig.wait_until(lambda: bool(worker.running))
+        rig.executor.register(
+            fakeworker.registration(worker, sequence=2, draining=True)
+        )
+        worker.crash()
+        await rig.wait_until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.LAPSED}
+        assert not reported
+
+    executorrig.run(test, worker)
+
+
+def test_start_that_a_crashed_worker_never_got_is_no_suspect() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: executorrig.Rig) -> None:
+        reported: list[runmessages.WorkerCrash] = []
+        rig.executor.on_crash = reported.append
+        rig.submit("cause")
+        await rig.wait_until(lambda: bool(worker.running))
+        worker.crash()
+        rig.submit("late")
+        await rig.wait_until(lambda: len(rig.ends) == 2)
+        assert rig.outcomes()["late"].never_started
+        (crash,) = reported
+        assert [row[0] for row in crash.runs] == ["cause"]
+
+    executorrig.run(test, worker)
