--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -137,7 +137,8 @@
     """Reports that a worker's process ended while it had runs.
 
     `age_ms` is the time since the crash was noticed. `runs` has rows of job,
-    step, index, and the time in ms from the start of the run to the crash.
+    step, index, and the time in ms from the start of the run to the crash; -1
+    if the worker has not confirmed the start.
     """
 
     worker: str
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -45,7 +45,7 @@
 _MAX_LATE_REFUSALS = 2
 # Tasks that are suspected of crashing workers are placed only while less than
 # this share of the workers is lost or runs one of them.
-_MAX_EXPOSED_SHARE = 0.25
+_MAX_EXPOSED_SHARE = 0.4
 # Refused because a run of another attempt of the job exists, so that the task
 # may have run.
 _OTHER_ATTEMPT_OUTCOMES = (work.Outcome.REFUSED_OLD, work.Outcome.REFUSED_BUSY)
@@ -606,7 +606,9 @@
         """Fails a job that won't be finished, and answers its callers."""
         if job.has_ended:
             return
-        if job.may_have_run or self._suspects.has_crashed(job.request.id):
+        if job.may_have_run or any(
+            map(self._suspects.has_begun, job.tasks_by_id)
+        ):
             error = errors.Error(
                 errors.Kind.DEADLINE_EXCEEDED, reason, errors.Ran.UNKNOWN
             )
--- a/packages/daemon/src/sardinerouted/dispatching/suspects.py
+++ b/packages/daemon/src/sardinerouted/dispatching/suspects.py
@@ -1,13 +1,15 @@
-"""Finds the jobs whose tasks crash the workers that start them.
+"""Finds the tasks that crash the workers that start them.
 
 All runs that a worker had when it crashed are possible causes. A task that
 crashes workers mostly does so right after its start, so the runs that had just
-begun are suspected first. A suspect runs apart from other suspects, and its
-start apart from other starts: the next crash then names the cause.
+begun are suspected first. A suspect runs apart from suspects of other jobs, and
+its start apart from other starts: the next crash then names the cause. A job is
+given up only once two workers have crashed while they ran one task of it.
 """
 
 import collections
 import dataclasses
+import enum
 from typing import Any
 
 from sardineroute_core import clock
@@ -15,36 +17,42 @@
 from sardineroute_core import work
 from sardinerouted import crashes
 
-# A job that may have caused this many crashes is given up.
+# A task that may have caused this many crashes is given up in any case.
 _MAX_CRASHES = 3
-# Limit on the jobs of each sort that are remembered.
-_MAX_JOBS = 2_000
+# Limit on the tasks and on the jobs that are remembered.
+_MAX_REMEMBERED = 4_000
+
+
+class _Stage(enum.IntEnum):
+    """How far a run was at a crash, the likeliest cause first."""
+
+    YOUNG = 0
+    UNCONFIRMED = 1
+    OLD = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Involvement:
-    """A crash that a job may have caused.
+    """A crash that a task may have caused.
 
     Attributes:
-        worker: The worker's id.
-        was_young: Whether a run of the job was young.
-        is_likely: Whether it was young, or none was.
-        tasks: The runs that may have caused it and have not ended well since.
+        worker: The id of the worker that crashed.
+        stage: How far the task's run was.
+        is_likely: Whether no other run was at a likelier stage.
     """
 
     worker: str
-    was_young: bool
+    stage: _Stage
     is_likely: bool
-    tasks: frozenset[work.TaskId]
 
 
 class Suspects:
     """What an entry concludes from the crashes that sidecars report."""
 
     def __init__(self, time: clock.Clock) -> None:
-        self.history = crashes.History(time)
-        self._involvements_by_job: collections.OrderedDict[
-            str, list[_Involvement]
+        self._history = crashes.History(time)
+        self._involvements_by_task: collections.OrderedDict[
+            work.TaskId, tuple[_Involvement, ...]
         ] = collections.OrderedDict()
         self._workers_by_culprit: collections.OrderedDict[
             str, tuple[str, ...]
@@ -55,115 +63,88 @@
         return job_id in self._workers_by_culprit
 
     def crashes_of(self, job_id: str) -> tuple[str, ...]:
-        """Returns the workers that a job has crashed, in order."""
+        """Returns the workers that a culprit has crashed, in order."""
         return self._workers_by_culprit.get(job_id, ())
 
-    def message(self) -> runmessages.Crashes | None:
-        """Returns the message about all known crashes, or None for none."""
-        return self.history.message() if self.history else None
-
-    def has_crashed(self, job_id: str) -> bool:
-        """Returns whether a run of a job may have caused a crash."""
-        return self.is_culprit(job_id) or job_id in self._involvements_by_job
-
     def is_suspect(self, task: work.TaskId) -> bool:
         """Returns whether a task is to run apart from other suspects."""
-        involvements = self._involvements_by_job.get(task.job, [])
-        return _are_suspicious(involvements) and any(
-            task in involvement.tasks for involvement in involvements
+        involvements = self._involvements_by_task.get(task, ())
+        return len(involvements) > 1 or any(
+            involvement.is_likely for involvement in involvements
         )
 
+    def has_begun(self, task: work.TaskId) -> bool:
+        """Returns whether a run of a task has been lost in a crash."""
+        return task in self._involvements_by_task
+
+    def message(self) -> runmessages.Crashes | None:
+        """Returns the message about all known crashes, or None for none."""
+        return self._history.message() if self._history else None
+
     def record(self, crash: runmessages.WorkerCrash) -> str:
         """Records a crash; returns the job that is found to have caused it.
 
         Returns an empty string if the crash was known, or its cause isn't.
         """
-        if not self.history.add(crash):
-            return ""
-        ages_ms: dict[str, int] = {}
-        for job, _, _, age_ms in crash.runs:
-            ages_ms[job] = min(age_ms, ages_ms.get(job, age_ms))
-        if any(job in self._workers_by_culprit for job in ages_ms):
+        if not self._history.add(crash) or any(
+            self.is_culprit(job) for job, *_ in crash.runs
+        ):
             return ""
-        young = {
-            job for job, age in ages_ms.items() if age <= crashes.YOUNG_RUN_MS
+        stages = {
+            work.TaskId(job, step, index): _stage(age_ms)
+            for job, step, index, age_ms in crash.runs
         }
-        culprit = self._find_culprit(ages_ms, young)
-        if culprit:
-            involvements = self._involvements_by_job.pop(culprit)
-            self._workers_by_culprit[culprit] = (
-                *(involvement.worker for involvement in involvements),
+        likeliest = min(stages.values(), default=_Stage.OLD)
+        likely = [task for task, stage in stages.items() if stage is likeliest]
+        cause = self._find_cause(likely, likeliest)
+        if cause is not None:
+            self._workers_by_culprit[cause.job] = (
+                *(one.worker for one in self._involvements_by_task[cause]),
                 crash.worker,
             )
             _limit(self._workers_by_culprit)
-            return culprit
-        for job in ages_ms:
-            self._add_involvement(crash, job, young)
+            return cause.job
+        for task, stage in stages.items():
+            self._involvements_by_task[task] = (
+                *self._involvements_by_task.get(task, ()),
+                _Involvement(crash.worker, stage, stage is likeliest),
+            )
+        _limit(self._involvements_by_task)
         return ""
 
     def record_success(self, task: work.TaskId) -> None:
         """Clears a task that has ended well."""
-        involvements = self._involvements_by_job.get(task.job)
-        if involvements is None:
-            return
-        left = [
-            dataclasses.replace(one, tasks=one.tasks - {task})
-            for one in involvements
-        ]
-        left = [one for one in left if one.tasks]
-        if left:
-            self._involvements_by_job[task.job] = left
-        else:
-            del self._involvements_by_job[task.job]
-
-    def _find_culprit(self, ages_ms: dict[str, int], young: set[str]) -> str:
-        """Returns the job that must have caused a crash, if there is one.
-
-        It is the only suspect of the same age as at its earlier crash. A
-        suspect of another age, or one of several, may have stood by; it is
-        taken for the cause at its last crash only.
+        self._involvements_by_task.pop(task, None)
+
+    def _find_cause(
+        self, likely: list[work.TaskId], stage: _Stage
+    ) -> work.TaskId | None:
+        """Returns the task that must have caused a crash, if there is one.
+
+        It belongs to the only job with a suspect that was as far as at its
+        earlier crash. A suspect that wasn't, or suspects of several jobs, may
+        have stood by; they are taken for the cause at their last crash only.
         """
-        suspects = [
-            job
-            for job in ages_ms
-            if _are_suspicious(self._involvements_by_job.get(job, []))
-        ]
+        suspects = [task for task in likely if self.is_suspect(task)]
         alike = [
-            job
-            for job in suspects
-            if (job in young or not young)
-            and self._involvements_by_job[job][-1].was_young == (job in young)
+            task
+            for task in suspects
+            if self._involvements_by_task[task][-1].stage is stage
         ]
-        if len(alike) == 1:
+        if len({task.job for task in alike}) == 1:
             return alike[0]
-        at_limit = [
-            job
-            for job in suspects
-            if len(self._involvements_by_job[job]) >= _MAX_CRASHES - 1
-            and (job in young or not young)
-        ]
-        return min(at_limit, key=lambda job: ages_ms[job], default="")
-
-    def _add_involvement(
-        self, crash: runmessages.WorkerCrash, job: str, young: set[str]
-    ) -> None:
-        was_young = job in young
-        tasks = frozenset(
-            work.TaskId(job, step, index)
-            for other, step, index, age_ms in crash.runs
-            if other == job
-            and (age_ms <= crashes.YOUNG_RUN_MS or not was_young)
-        )
-        self._involvements_by_job.setdefault(job, []).append(
-            _Involvement(crash.worker, was_young, was_young or not young, tasks)
-        )
-        _limit(self._involvements_by_job)
+        for task in suspects:
+            if len(self._involvements_by_task[task]) >= _MAX_CRASHES - 1:
+                return task
+        return None
 
 
-def _are_suspicious(involvements: list[_Involvement]) -> bool:
-    return len(involvements) > 1 or any(one.is_likely for one in involvements)
+def _stage(age_ms: int) -> _Stage:
+    if age_ms < 0:
+        return _Stage.UNCONFIRMED
+    return _Stage.YOUNG if age_ms <= crashes.YOUNG_RUN_MS else _Stage.OLD
 
 
-def _limit(by_job: "collections.OrderedDict[str, Any]") -> None:
-    while len(by_job) > _MAX_JOBS:
-        by_job.popitem(last=False)
+def _limit(collection: "collections.OrderedDict[Any, Any]") -> None:
+    while len(collection) > _MAX_REMEMBERED:
+        collection.popitem(last=False)
--- a/packages/daemon/src/sardinerouted/worker/runlog.py
+++ b/packages/daemon/src/sardinerouted/worker/runlog.py
@@ -36,7 +36,7 @@
 ) -> list[tuple[str, int, int, int]]:
     """Returns job, step, index and age in ms of the youngest active runs.
 
-    The age counts from the confirmed start and is 0 before. The list is
+    The age counts from the confirmed start and is -1 before. The list is
     bounded.
     """
     rows = [
@@ -44,7 +44,7 @@
             run.ref.task.job,
             run.ref.task.step,
             run.ref.task.index,
-            now_ms - run.started_ms if run.started_ms else 0,
+            now_ms - run.started_ms if run.started_ms else -1,
         )
         for run in runs.active()
     ]
