Follow a worker's capacity while it runs

A worker that shrank was kept by entries at the size of its registration: they sent it tasks that it could never start, a waiting run that fitted no more waited until its start was due, and a retried task that fitted no worker waited for its caller's deadline. A sidecar now tells entries of a changed size at once, refuses waiting runs that exceed it, and an entry gives a job up once a task that no worker may run would end too late even if it started at once. What runs and is over stays.

--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -53,6 +53,7 @@
 # have used.
 _RUN_NUMBER_STEP = 16
 
+_NO_WORKER = "no worker can run the job"
 _UNISOLATED = "a task may crash workers, and none is free to run it apart"
 _CONGESTED = "messages to the workers take too long"
 
@@ -511,24 +512,29 @@
         ):
             self._withdraw(job, "no worker has capacity in time")
             return
-        if self._is_too_late_to_isolate(job, choices, remaining_ms):
-            self._withdraw(job, _UNISOLATED)
+        reason = self._why_unplaceable(job, choices, remaining_ms)
+        if reason:
+            self._withdraw(job, reason)
             return
         self._send_starts(choices)
 
-    def _is_too_late_to_isolate(
+    def _why_unplaceable(
         self,
         job: jobs.Job,
         choices: list[tuple[jobs.Task, placement.Choice]],
         remaining_ms: int,
-    ) -> bool:
-        """Returns whether a suspect task that no worker may run is too late."""
+    ) -> str:
+        """Returns why a job can't end in time; empty while it may.
+
+        That is so once a task that no worker may run now would end too late
+        even if it started at once.
+        """
         placed = {task.id for task, _ in choices}
-        return any(
-            task.estimate_ms > remaining_ms
-            for task in job.queued_tasks()
-            if task.id not in placed and self._suspects.is_suspect(task.id)
-        )
+        for task in job.queued_tasks():
+            if task.id not in placed and task.estimate_ms > remaining_ms:
+                is_suspect = self._suspects.is_suspect(task.id)
+                return _UNISOLATED if is_suspect else _NO_WORKER
+        return ""
 
     def _expiry_ms(self, job: jobs.Job) -> int:
         """Returns the time after which the job is not worth finishing."""
@@ -573,7 +579,7 @@
             objective_duration_ms = job.objective_ms - job.received_ms
             max_wait_ms = int(_NO_WORKER_WAIT_SHARE * objective_duration_ms)
         if not job.may_have_run and now_ms - job.received_ms > max_wait_ms:
-            self._abort(job, "no worker can run the job")
+            self._abort(job, _NO_WORKER)
 
     def _cancel_local(self, job_id: str) -> None:
         job = self._jobs_by_id.get(job_id)
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -109,19 +109,24 @@
         if changed:
             self._begin_incarnation(registration)
         draining = previous is not None and previous.draining
+        resized = (
+            previous is not None and previous.capacity != registration.capacity
+        )
         self.worker = registration
         self.runs.capacity = registration.capacity
         if registration.clock_ms is not None:
             self._calls.update_clock(registration.clock_ms)
         self._calls.record_answer()
         self.check_liveness()
-        if changed or draining != registration.draining:
+        if changed or resized or draining != registration.draining:
             _log.info(
                 "The worker has registered.",
                 worker=registration.id,
                 incarnation=registration.incarnation,
                 draining=registration.draining,
                 cpu_millicores=registration.capacity.cpu_millicores,
+                memory_mb=registration.capacity.memory_mb,
+                used_millicores=self.runs.used.cpu_millicores,
             )
             self.on_change()
         self.start_waiting()
@@ -228,7 +233,8 @@
         """Starts runs that fit and refuses those past their start deadline."""
         now_ms = self._clock.now_ms()
         for run in self.runs.waiting():
-            if now_ms > run.request.start_by_ms:
+            fits_when_idle = run.size.fits_in(self.runs.capacity)
+            if now_ms > run.request.start_by_ms or not fits_when_idle:
                 self._end(run, work.Outcome.REFUSED_FULL)
             elif not self.accepts_runs:
                 self._end(run, work.Outcome.REFUSED_LEAVING)
--- a/packages/daemon/src/sardinerouted/worker/runtable.py
+++ b/packages/daemon/src/sardinerouted/worker/runtable.py
@@ -98,9 +98,18 @@
     def __iter__(self) -> Iterator[Run]:
         return iter(list(self._runs_by_task.values()))
 
+    @property
+    def used(self) -> work.Size:
+        """Returns the resources that runs use, also those being stopped."""
+        return self._used
+
     @property
     def free(self) -> work.Size:
-        """Returns the resources that no run uses."""
+        """Returns the resources that no run uses.
+
+        Components are negative while a worker that has shrunk still has runs
+        beyond its capacity.
+        """
         return self.capacity.minus(self._used)
 
     @property
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -157,6 +157,7 @@
         await _report_crash(rig, crashed, *crashed.starts())
         # Its objective is 700 ms, and it is of use for up to three times that.
         await rig.advance(2_200)
+        assert submission.done()
         # It has run, so it is not told as not run.
         assert await submission == "deadline_exceeded unknown"
 
