Give a task up after four lost runs, whatever they were lost by

A run can be lost without a crash that anybody sees: its host loses power, its sidecar ends with it, a link goes silent, a call is not answered. Such runs were retried for as long as the caller waited, so a task that takes its host down was started on one host after the other. An entry now counts all runs of a task that were lost, and gives the job up at the fourth; its caller is told that it may have run.

--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -61,6 +61,8 @@
             of capacity.
         late_refusals: Number of times that a start message for it arrived too
             late.
+        lost_runs: Number of runs that ended with their worker or sidecar, or
+            without an answer from it.
         possible_runs: Number of runs that started or may have started.
         lost_until_ms: When its run has ended at the latest, once the sidecar's
             process that had it is gone.
@@ -83,6 +85,7 @@
     retries: int = 0
     capacity_refusals: int = 0
     late_refusals: int = 0
+    lost_runs: int = 0
     possible_runs: int = 0
     lost_until_ms: int = 0
     span: traces.Span = traces.NO_SPAN
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -43,18 +43,28 @@
 # A congested entry gives up a task whose start messages have arrived late this
 # often.
 _MAX_LATE_REFUSALS = 2
+# A task whose runs were lost this often is given up: what it runs on may be lost
+# because of it, also where no crash was seen.
+_MAX_LOST_RUNS = 4
 # Tasks that are suspected of crashing workers are placed only while less than
 # this share of the workers is lost or runs one of them.
 _MAX_EXPOSED_SHARE = 0.4
 # Refused because a run of another attempt of the job exists, so that the task
 # may have run.
 _OTHER_ATTEMPT_OUTCOMES = (work.Outcome.REFUSED_OLD, work.Outcome.REFUSED_BUSY)
+# The run was lost, by whatever cause.
+_LOST_OUTCOMES = (
+    work.Outcome.LAPSED,
+    work.Outcome.UNKNOWN,
+    work.Outcome.CRASHED,
+)
 # Added to a run number to skip those that an earlier attempt of the job may
 # have used.
 _RUN_NUMBER_STEP = 16
 
 _NO_WORKER = "no worker can run the job"
 _UNISOLATED = "a task may crash workers, and none is free to run it apart"
+_RUNS_LOST = "runs of a task were lost too often"
 _CONGESTED = "messages to the workers take too long"
 
 _log = logs.get_logger("jobs")
@@ -440,6 +450,11 @@
         if job.is_being_withdrawn:
             self._finish_withdrawal(job)
             return
+        if outcome in _LOST_OUTCOMES:
+            task.lost_runs += 1
+            if task.lost_runs >= _MAX_LOST_RUNS:
+                self._withdraw(job, _RUNS_LOST)
+                return
         if outcome is work.Outcome.FAILED:
             task.failures += 1
             if task.failures >= job.queue.max_attempts:
@@ -557,6 +572,10 @@
                 if now_ms >= self.fleet.lost_until_ms(task):
                     self.fleet.forget_task(task)
                     task.phase = jobs.Phase.QUEUED
+                    task.lost_runs += 1
+                    if task.lost_runs >= _MAX_LOST_RUNS:
+                        self._withdraw(job, _RUNS_LOST)
+                        return
             elif task.phase is jobs.Phase.PLACED:
                 sidecars_by_id = self.fleet.sidecars_by_id
                 if not is_congested and stragglers.is_stuck(
--- a/tests/test_lost_processes.py
+++ b/tests/test_lost_processes.py
@@ -119,3 +119,27 @@
                 task.cancel()
 
     asyncio.run(main())
+
+
+# Guards against retries without a limit where the host of a worker, or its
+# sidecar, is lost because of a task: no crash is reported then.
+def test_task_whose_hosts_are_lost_is_not_started_everywhere() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(9)
+        submission = await rig.submit("job", estimate_ms=5_000, wait_ms=60_000)
+        lost: list[offlinerig.FakeSidecar] = []
+        while not submission.done() and len(lost) < 9:
+            where = [one for one in rig.sidecars if one.starts()]
+            for sidecar in where:
+                if sidecar not in lost:
+                    lost.append(sidecar)
+                    sidecar.connection.abort()
+            await rig.advance(200)
+            for sidecar in rig.sidecars:
+                if sidecar not in lost:
+                    await sidecar.report()
+        assert len(lost) == 4
+        assert await submission == "deadline_exceeded unknown"
+
+    asyncio.run(main())
