Clear the tasks beside a known cause, and stop late causes at three workers

A task that crashes workers some time after its start was beside runs that had just started, which were suspected instead of it, so its own count never ended. A suspect at its third crash is now the cause also where another run had started more recently. So that nobody is blamed for standing by, the tasks of a crash are cleared as soon as its cause is known; that a run of them has begun is kept, as it must not be told as not run.

--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -43,8 +43,8 @@
 # A congested entry gives up a task whose start messages have arrived late this
 # often.
 _MAX_LATE_REFUSALS = 2
-# A task whose runs were lost this often is given up: what it runs on may be lost
-# because of it, also where no crash was seen.
+# A task whose runs were lost this often is given up: what it runs on may be
+# lost because of it, also where no crash was seen.
 _MAX_LOST_RUNS = 4
 # Tasks that are suspected of crashing workers are placed only while less than
 # this share of the workers is lost or runs one of them.
--- a/packages/daemon/src/sardinerouted/dispatching/suspects.py
+++ b/packages/daemon/src/sardinerouted/dispatching/suspects.py
@@ -4,7 +4,8 @@
 crashes workers mostly does so right after its start, so the runs that had just
 begun are suspected first. A suspect runs apart from suspects of other jobs, and
 its start apart from other starts: the next crash then names the cause. A job is
-given up only once two workers have crashed while they ran one task of it.
+given up only once two workers have crashed while they ran one task of it. Once
+the cause of a crash is known, the tasks that ran beside it are cleared.
 """
 
 import collections
@@ -37,11 +38,13 @@
 
     Attributes:
         worker: The id of the worker that crashed.
+        incarnation: The incarnation of that worker.
         stage: How far the task's run was.
         is_likely: Whether no other run was at a likelier stage.
     """
 
     worker: str
+    incarnation: int
     stage: _Stage
     is_likely: bool
 
@@ -95,49 +98,69 @@
             for job, step, index, age_ms in crash.runs
         }
         likeliest = min(stages.values(), default=_Stage.OLD)
-        likely = [task for task, stage in stages.items() if stage is likeliest]
-        cause = self._find_cause(likely, likeliest)
+        cause = self._find_cause(stages, likeliest)
         if cause is not None:
+            explained = self._involvements_by_task[cause]
             self._workers_by_culprit[cause.job] = (
-                *(one.worker for one in self._involvements_by_task[cause]),
+                *(one.worker for one in explained),
                 crash.worker,
             )
             _limit(self._workers_by_culprit)
+            self._clear_bystanders(explained)
             return cause.job
         for task, stage in stages.items():
             self._involvements_by_task[task] = (
                 *self._involvements_by_task.get(task, ()),
-                _Involvement(crash.worker, stage, stage is likeliest),
+                _Involvement(
+                    crash.worker, crash.incarnation, stage, stage is likeliest
+                ),
             )
         _limit(self._involvements_by_task)
         return ""
 
     def record_success(self, task: work.TaskId) -> None:
         """Clears a task that has ended well."""
-        self._involvements_by_task.pop(task, None)
+        if task in self._involvements_by_task:
+            self._involvements_by_task[task] = ()
 
     def _find_cause(
-        self, likely: list[work.TaskId], stage: _Stage
+        self, stages: dict[work.TaskId, _Stage], likeliest: _Stage
     ) -> work.TaskId | None:
         """Returns the task that must have caused a crash, if there is one.
 
-        It belongs to the only job with a suspect that was as far as at its
-        earlier crash. A suspect that wasn't, or suspects of several jobs, may
-        have stood by; they are taken for the cause at their last crash only.
+        It belongs to the only job with a suspect that is likely now and was as
+        far at its earlier crash. A suspect that wasn't, or suspects of several
+        jobs, may have stood by; such a task is taken for the cause at its last
+        crash only, a likely one first.
+
+        Args:
+            stages: How far the runs of the crashed worker were, by task.
+            likeliest: The likeliest of these stages.
         """
-        suspects = [task for task in likely if self.is_suspect(task)]
+        suspects = [task for task in stages if self.is_suspect(task)]
+        likely = [task for task in suspects if stages[task] is likeliest]
         alike = [
             task
-            for task in suspects
-            if self._involvements_by_task[task][-1].stage is stage
+            for task in likely
+            if self._involvements_by_task[task][-1].stage is likeliest
         ]
         if len({task.job for task in alike}) == 1:
             return alike[0]
-        for task in suspects:
+        for task in likely + suspects:
             if len(self._involvements_by_task[task]) >= _MAX_CRASHES - 1:
                 return task
         return None
 
+    def _clear_bystanders(self, explained: tuple[_Involvement, ...]) -> None:
+        """Clears all tasks of crashes whose cause is known."""
+        instances = {(one.worker, one.incarnation) for one in explained}
+        for task, involvements in self._involvements_by_task.items():
+            self._involvements_by_task[task] = tuple(
+                one
+                for one in involvements
+                if (one.worker, one.incarnation) not in instances
+            )
+
 
 def _stage(age_ms: int) -> _Stage:
     if age_ms < 0:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -107,13 +107,29 @@
     assert found == "first"
 
 
+@pytest.mark.parametrize("beside", [{}, {"three": _YOUNG_MS}])
 def test_task_that_crashes_workers_late_takes_down_three_at_most(
-    known: suspects.Suspects,
+    known: suspects.Suspects, beside: dict[str, int]
 ) -> None:
     known.record(_crash(1, cause=_OLD_MS, one=_YOUNG_MS))
     known.record(_crash(2, cause=_OLD_MS, two=_YOUNG_MS))
     assert _is_suspect(known, "cause")
-    assert known.record(_crash(3, cause=_OLD_MS)) == "cause"
+    assert known.record(_crash(3, cause=_OLD_MS, **beside)) == "cause"
+
+
+# Guards against blaming a task for crashes that others have caused.
+def test_tasks_beside_a_cause_are_cleared_once_it_is_known(
+    known: suspects.Suspects,
+) -> None:
+    for number, cause in enumerate(("first", "second", "third")):
+        runs = {cause: _YOUNG_MS, "bystander": _YOUNG_MS}
+        assert known.record(_crash(2 * number, **runs)) == ""
+        assert _is_suspect(known, "bystander")
+        crash = _crash(2 * number + 1, **{cause: _YOUNG_MS})
+        assert known.record(crash) == cause
+        assert not _is_suspect(known, "bystander")
+    # Its runs have begun all the same, and it is not told as not run.
+    assert known.has_begun(work.TaskId("bystander", 0, 0))
 
 
 # Guards against blaming tasks for a series of crashes that none has caused.
