Tell each peer of a crash once

A sidecar told an entry that connected of all crashes it knew, its own and those of others: 64 crashes of 24 runs encode to 36 kB, which 160 sidecars send to a restarted entry as 5.7 MB, some 4.6 s of a link of 10 Mbit/s. A crash now names the sidecar that noticed it. Each sidecar tells of its own, and an entry tells a sidecar of those that its earlier process noticed, so a restarted entry gets each crash once: 36 kB in all at the limit.

--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -136,11 +136,12 @@
 class WorkerCrash:
     """Reports that a worker's process ended while it had runs.
 
-    `age_ms` is the time since the crash was noticed. `runs` has rows of job,
-    step, index, and the time in ms from the start of the run to the crash; -1
-    if the worker has not confirmed the start.
+    `sidecar` is the id of the sidecar that noticed it, and `age_ms` the time
+    since then. `runs` has rows of job, step, index, and the time in ms from the
+    start of the run to the crash; -1 if the worker has not confirmed the start.
     """
 
+    sidecar: str
     worker: str
     incarnation: int
     age_ms: int
@@ -151,8 +152,9 @@
 class Crashes:
     """Reports recent crashes, oldest first.
 
-    Entries and sidecars tell each other all that they know when they connect,
-    and sidecars tell entries of each further one.
+    A sidecar tells an entry of those that it noticed when they connect, and of
+    each further one. An entry tells a sidecar of those that an earlier process
+    of the sidecar noticed.
     """
 
     crashes: tuple[WorkerCrash, ...]
--- a/packages/daemon/src/sardinerouted/crashes.py
+++ b/packages/daemon/src/sardinerouted/crashes.py
@@ -1,6 +1,7 @@
-"""Recent crashes of workers, as entries and sidecars remember them."""
+"""What entries and sidecars remember of the crashes of workers."""
 
 import collections
+import dataclasses
 
 from sardineroute_core import clock
 from sardineroute_core import runmessages
@@ -26,9 +27,6 @@
             tuple[str, int], tuple[int, runmessages.WorkerCrash]
         ] = collections.OrderedDict()
 
-    def __len__(self) -> int:
-        return len(self._crashes_by_instance)
-
     def add(self, crash: runmessages.WorkerCrash) -> bool:
         """Adds a crash; returns whether it was not known before."""
         instance = (crash.worker, crash.incarnation)
@@ -44,21 +42,25 @@
             self._crashes_by_instance.popitem(last=False)
         return True
 
-    def message(self) -> runmessages.Crashes:
-        """Returns the message that tells a peer of all remembered crashes."""
+    def message(self, sidecar: str) -> runmessages.Crashes:
+        """Returns the message about all that a sidecar has noticed.
+
+        Args:
+            sidecar: The sidecar's id.
+        """
         now_ms = self._clock.now_ms()
         self._remove_old(now_ms)
         rows = sorted(
-            self._crashes_by_instance.values(), key=lambda row: row[0]
+            (
+                row
+                for row in self._crashes_by_instance.values()
+                if row[1].sidecar == sidecar
+            ),
+            key=lambda row: row[0],
         )
         return runmessages.Crashes(
             tuple(
-                runmessages.WorkerCrash(
-                    crash.worker,
-                    crash.incarnation,
-                    max(0, now_ms - at_ms),
-                    crash.runs,
-                )
+                dataclasses.replace(crash, age_ms=max(0, now_ms - at_ms))
                 for at_ms, crash in rows
             )
         )
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -46,7 +46,8 @@
         sidecars_by_id: The sidecars, connected or not.
         on_cancel: Called with the id of a job that another entry cancels.
         on_crashes: Called with the crashes of workers that a sidecar reports.
-        crashes_message: Returns the message about all known crashes, or None.
+        crashes_at: Returns the message about the crashes that a sidecar, given
+            by its id, has noticed.
         entry_count: Returns the number of entries that share the sidecars.
     """
 
@@ -61,8 +62,8 @@
         self.on_crashes: Callable[[runmessages.Crashes], None] = (
             lambda message: None
         )
-        self.crashes_message: Callable[[], runmessages.Crashes | None] = (
-            lambda: None
+        self.crashes_at: Callable[[str], runmessages.Crashes] = (
+            lambda _: runmessages.Crashes(())
         )
         self.entry_count: Callable[[], int] = lambda: 1
         self._ranks_by_id: dict[str, bytes] = {}
@@ -110,8 +111,8 @@
         if restarted:
             self._detach_tasks(sidecar)
         sidecar.connect(connection)
-        known_crashes = self.crashes_message()
-        if known_crashes is not None:
+        known_crashes = self.crashes_at(peer.id)
+        if known_crashes.crashes:
             connection.send(known_crashes)
         _log.info("Sidecar connected.", sidecar=peer.id, restarted=restarted)
         try:
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -101,7 +101,7 @@
         self.fleet.on_cancel = self._cancel_local
         self._suspects = suspicion.Suspects(time)
         self.fleet.on_crashes = self._handle_crashes
-        self.fleet.crashes_message = self._suspects.message
+        self.fleet.crashes_at = self._suspects.crashes_at
         self._congestion = congestion.Congestion()
         self._was_congested = False
         self._estimates = estimates.Estimates()
--- a/packages/daemon/src/sardinerouted/dispatching/suspects.py
+++ b/packages/daemon/src/sardinerouted/dispatching/suspects.py
@@ -80,9 +80,9 @@
         """Returns whether a run of a task has been lost in a crash."""
         return task in self._involvements_by_task
 
-    def message(self) -> runmessages.Crashes | None:
-        """Returns the message about all known crashes, or None for none."""
-        return self._history.message() if self._history else None
+    def crashes_at(self, sidecar: str) -> runmessages.Crashes:
+        """Returns the message about the crashes that a sidecar has noticed."""
+        return self._history.message(sidecar)
 
     def record(self, crash: runmessages.WorkerCrash) -> str:
         """Records a crash; returns the job that is found to have caused it.
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -82,7 +82,8 @@
         self._clock = time
         self.executor = executor.Executor(time, client, self._report_end)
         self.executor.on_change = self._send_worker
-        self.executor.on_crash = self._handle_crash
+        self._id = identity.id
+        self.executor.on_crash = self._handle_own_crash
         self._crashes = crashes.History(time)
         self.executor.lease_end_of = self._lease_end_of
         self._load_reporter = load.LoadReporter(
@@ -224,8 +225,9 @@
         session.connection = connection
         session.starts_received = 0
         session.is_follower = True
-        if self._crashes:
-            connection.send(self._crashes.message())
+        known_crashes = self._crashes.message(self._id)
+        if known_crashes.crashes:
+            connection.send(known_crashes)
         for ended in session.unsent_ends:
             connection.send(ended)
         session.unsent_ends.clear()
@@ -295,6 +297,9 @@
             if session is not None and session.connection is not None:
                 session.connection.send(message)
 
+    def _handle_own_crash(self, crash: runmessages.WorkerCrash) -> None:
+        self._handle_crash(dataclasses.replace(crash, sidecar=self._id))
+
     def _handle_crash(self, crash: runmessages.WorkerCrash) -> None:
         """Tells all entries of a crash that was not known before."""
         if not self._crashes.add(crash):
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -42,7 +42,8 @@
         on_change: Called when the worker changes, when it begins or ceases to
             accept runs, and when its free capacity becomes known or unknown.
         on_crash: Called when the worker's process has ended unexpectedly,
-            before the ends of its runs are reported.
+            before the ends of its runs are reported. The message names no
+            sidecar.
         lease_end_of: Returns the end of an entry's lease, given the entry's
             incarnation.
     """
@@ -550,6 +551,7 @@
         if rows:
             self.on_crash(
                 runmessages.WorkerCrash(
+                    "",
                     worker.id,
                     worker.incarnation,
                     0,
