Keep queues whose tasks crash workers apart from others

What callers saw: with one job in ten of a queue crashing its workers, jobs of all queues lost their runs with them, and while up to seven of 11 workers were starting again, jobs of all queues were refused alike.

Change: after a task was found to crash workers, a quarter of the workers is set aside for its queue for 10 s; other queues avoid these workers, and it avoids the others, where jobs can be in time so. Once 40 % of the workers are lost, the queue may use only those set aside, and these shrink to one. Each entry chooses the same workers by a hash; the queue's name goes to the other entries through two sidecars.

--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -160,6 +160,17 @@
     crashes: tuple[WorkerCrash, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfinedQueues:
+    """Tells of queues whose tasks crash workers; they run on few workers.
+
+    `rows` has the names of queues and for how many ms each is confined yet. A
+    sidecar passes the message on to the other entries.
+    """
+
+    rows: tuple[tuple[str, int], ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldRuns:
     """Lists the runs that a sidecar holds for the entry; its first message.
--- a/packages/daemon/src/sardinerouted/crashes.py
+++ b/packages/daemon/src/sardinerouted/crashes.py
@@ -16,6 +16,13 @@
 _MAX_CRASHES = 64
 # Limit on the runs of one crash; the youngest are kept.
 MAX_RUNS = 24
+# How long a queue is confined after a task of it was found to crash workers:
+# several times as long as a worker takes to start again.
+CONFINED_MS = 10_000
+# A confinement that is longer by less than this is not worth a message.
+_MIN_EXTENSION_MS = 3_000
+# Limit on the confined queues.
+_MAX_QUEUES = 64
 
 
 class History:
@@ -69,3 +76,56 @@
         for instance, (at_ms, _) in list(self._crashes_by_instance.items()):
             if now_ms - at_ms > _RETENTION_MS:
                 del self._crashes_by_instance[instance]
+
+
+class ConfinedQueues:
+    """The queues that are confined, and until when.
+
+    A queue is confined while its tasks crash workers (see
+    `dispatching.confinement`).
+    """
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._until_ms_by_queue: dict[str, int] = {}
+
+    def __contains__(self, queue: str) -> bool:
+        return queue in self._until_ms_by_queue
+
+    def __len__(self) -> int:
+        return len(self._until_ms_by_queue)
+
+    def extend(self, message: runmessages.ConfinedQueues) -> bool:
+        """Confines queues; returns whether others have to be told."""
+        now_ms = self._clock.now_ms()
+        is_news = False
+        for queue, remaining_ms in message.rows:
+            until_ms = now_ms + min(remaining_ms, CONFINED_MS)
+            known_ms = self._until_ms_by_queue.get(queue, 0)
+            if known_ms or len(self._until_ms_by_queue) < _MAX_QUEUES:
+                self._until_ms_by_queue[queue] = max(until_ms, known_ms)
+            is_news |= until_ms - known_ms >= _MIN_EXTENSION_MS
+        return is_news
+
+    def release(self) -> list[str]:
+        """Returns the queues whose time is over, and removes them."""
+        now_ms = self._clock.now_ms()
+        released = [
+            queue
+            for queue, until_ms in self._until_ms_by_queue.items()
+            if now_ms >= until_ms
+        ]
+        for queue in released:
+            del self._until_ms_by_queue[queue]
+        return released
+
+    def message(self) -> runmessages.ConfinedQueues:
+        """Returns the message that tells a peer of the confined queues."""
+        self.release()
+        now_ms = self._clock.now_ms()
+        return runmessages.ConfinedQueues(
+            tuple(
+                (queue, until_ms - now_ms)
+                for queue, until_ms in self._until_ms_by_queue.items()
+            )
+        )
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -46,6 +46,7 @@
         sidecars_by_id: The sidecars, connected or not.
         on_cancel: Called with the id of a job that another entry cancels.
         on_crashes: Called with the crashes of workers that a sidecar reports.
+        on_confined_queues: Called with the queues that another entry confines.
         crashes_at: Returns the message about the crashes that a sidecar, given
             by its id, has noticed.
         entry_count: Returns the number of entries that share the sidecars.
@@ -62,8 +63,11 @@
         self.on_crashes: Callable[[runmessages.Crashes], None] = (
             lambda message: None
         )
-        self.crashes_at: Callable[[str], runmessages.Crashes] = (
-            lambda _: runmessages.Crashes(())
+        self.on_confined_queues: Callable[
+            [runmessages.ConfinedQueues], None
+        ] = lambda message: None
+        self.crashes_at: Callable[[str], runmessages.Crashes] = lambda _: (
+            runmessages.Crashes(())
         )
         self.entry_count: Callable[[], int] = lambda: 1
         self._ranks_by_id: dict[str, bytes] = {}
@@ -235,11 +239,13 @@
             if not restarted:
                 self._reconcile_held_runs(sidecar, message)
         elif isinstance(message, runmessages.Worker):
-            sidecar.worker = message
+            sidecar.update_worker(message)
         elif isinstance(message, runmessages.CancelJob):
             self.on_cancel(message.job)
         elif isinstance(message, runmessages.Crashes):
             self.on_crashes(message)
+        elif isinstance(message, runmessages.ConfinedQueues):
+            self.on_confined_queues(message)
 
     def _acknowledge_load(self, sidecar: sidecars.Sidecar) -> None:
         """Shows an idle sidecar that the connection works."""
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -10,6 +10,7 @@
 from sardineroute_core import runmessages
 from sardineroute_core import work
 from sardinerouted.dispatching import callers
+from sardinerouted.dispatching import confinement
 from sardinerouted.dispatching import congestion
 from sardinerouted.dispatching import estimates
 from sardinerouted.dispatching import finished_jobs
@@ -100,7 +101,9 @@
         self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
         self.fleet.on_cancel = self._cancel_local
         self._suspects = suspicion.Suspects(time)
+        self._confinement = confinement.Confinement(time)
         self.fleet.on_crashes = self._handle_crashes
+        self.fleet.on_confined_queues = self._handle_confined_queues
         self.fleet.crashes_at = self._suspects.crashes_at
         self._congestion = congestion.Congestion()
         self._was_congested = False
@@ -210,6 +213,7 @@
         now_ms = self._clock.now_ms()
         is_congested = self._is_congested(now_ms)
         self.fleet.check()
+        self._confinement.update(self.fleet.all_sidecars())
         for job in list(self._jobs_by_id.values()):
             self._check_job(job, now_ms, is_congested)
 
@@ -356,10 +360,23 @@
             if label:
                 self.fleet.want_label(label)
         followed, others = self.fleet.split()
-        choice = self._choose(task, followed, now_ms)
-        if not others or (choice is not None and choice.is_on_time):
-            return choice
-        return self._choose(task, followed + others, now_ms)
+        fleets = [followed, followed + others] if others else [followed]
+        queue = task.job.queue
+        if self._confinement.sets_aside(queue):
+            preferred = [
+                self._confinement.preferred(queue, fleet) for fleet in fleets
+            ]
+            # A label may have no worker among those of a confined queue.
+            may_run_elsewhere = (
+                not self._confinement.is_confined(queue)
+                or task.step.required_label
+            )
+            fleets = preferred + (fleets if may_run_elsewhere else [])
+        for fleet in fleets:
+            choice = self._choose(task, fleet, now_ms)
+            if choice is not None and choice.is_on_time:
+                break
+        return choice
 
     def _isolated_sidecars(self, job: jobs.Job) -> list[sidecars.Sidecar]:
         """Returns the sidecars where suspect tasks of a job may run.
@@ -383,7 +400,9 @@
         lost = sum(sidecar.has_lost_its_worker for sidecar in fleet)
         if lost + len(exposed) >= max(1.0, _MAX_EXPOSED_SHARE * len(fleet)):
             return []
-        return [sidecar for sidecar in fleet if sidecar not in exposed]
+        unexposed = [sidecar for sidecar in fleet if sidecar not in exposed]
+        preferred = self._confinement.preferred(job.queue, unexposed)
+        return [one for one in preferred if one.is_usable] or unexposed
 
     def _handle_crashes(self, message: runmessages.Crashes) -> None:
         """Draws the conclusions from crashes that a sidecar reports."""
@@ -392,6 +411,11 @@
             if culprit:
                 self._give_up_culprit(culprit, crash)
 
+    def _handle_confined_queues(
+        self, message: runmessages.ConfinedQueues
+    ) -> None:
+        self._confinement.apply(message, self.fleet.all_sidecars())
+
     def _give_up_culprit(
         self, job_id: str, crash: runmessages.WorkerCrash
     ) -> None:
@@ -407,6 +431,7 @@
         )
         if job is not None:
             jobmetrics.count_culprit(job.queue.name)
+            self._confinement.confine(job.queue.name, self.fleet.all_sidecars())
             self._end(job, jobs.State.FAILED, None)
 
     def _choose(
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -29,6 +29,7 @@
         incarnation: Identifies one run of the sidecar's process.
         connection: The open connection, or None while disconnected.
         worker: The sidecar's worker, or None until the sidecar reports it.
+        service: The service of its latest worker; empty before the first.
         tasks_by_id: Tasks that were sent to it and have not ended.
         capacity: The worker's free capacity.
         slowness: Ratio of measured run times to estimates.
@@ -46,6 +47,7 @@
         self.incarnation = incarnation
         self.connection: streams.Connection | None = None
         self.worker: runmessages.Worker | None = None
+        self.service = ""
         self.tasks_by_id: dict[work.TaskId, jobs.Task] = {}
         self.capacity = capacity.Capacity()
         self.slowness = 1.0
@@ -119,6 +121,11 @@
         self._offset_ms = None
         self._previous_offset_ms = None
 
+    def update_worker(self, worker: runmessages.Worker) -> None:
+        """Applies the sidecar's description of its worker."""
+        self.worker = worker
+        self.service = worker.service or self.service
+
     def update_load(self, load: runmessages.Load) -> None:
         """Applies a load report of the sidecar."""
         now_ms = self._clock.now_ms()
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -85,6 +85,7 @@
         self._id = identity.id
         self.executor.on_crash = self._handle_own_crash
         self._crashes = crashes.History(time)
+        self._confined_queues = crashes.ConfinedQueues(time)
         self.executor.lease_end_of = self._lease_end_of
         self._load_reporter = load.LoadReporter(
             time, self.executor.runs, self.executor.speed
@@ -228,6 +229,8 @@
         known_crashes = self._crashes.message(self._id)
         if known_crashes.crashes:
             connection.send(known_crashes)
+        if self._confined_queues:
+            connection.send(self._confined_queues.message())
         for ended in session.unsent_ends:
             connection.send(ended)
         session.unsent_ends.clear()
@@ -277,6 +280,8 @@
         elif isinstance(message, runmessages.Crashes):
             for crash in message.crashes:
                 self._handle_crash(crash)
+        elif isinstance(message, runmessages.ConfinedQueues):
+            self._handle_confined_queues(session, message)
 
     def _handle_stop_runs(
         self, owner: str, message: runmessages.StopRuns
@@ -309,6 +314,16 @@
             if session.connection is not None:
                 session.connection.send(message)
 
+    def _handle_confined_queues(
+        self, sender: _EntrySession, message: runmessages.ConfinedQueues
+    ) -> None:
+        """Passes confined queues on to the other entries, if they are news."""
+        if not self._confined_queues.extend(message):
+            return
+        for session in self._sessions_by_owner.values():
+            if session is not sender and session.connection is not None:
+                session.connection.send(message)
+
     def _report_end(
         self, run: runtable.Run, outcome: work.Outcome, run_ms: int
     ) -> None:
--- a/tests/offlinerig.py
+++ b/tests/offlinerig.py
@@ -8,6 +8,7 @@
 from sardineroute_core import clock
 from sardineroute_core import errors
 from sardineroute_core import messages
+from sardineroute_core import routing
 from sardineroute_core import runmessages
 from sardineroute_core import streams
 from sardineroute_core import work
@@ -192,7 +193,12 @@
         self._start(handle())
 
     async def submit(
-        self, job_id: str, tasks: int = 1, wait_ms: int = 5_000, **step: Any
+        self,
+        job_id: str,
+        tasks: int = 1,
+        wait_ms: int = 5_000,
+        queue: routing.Queue = hostedrig.QUEUE,
+        **step: Any,
     ) -> "asyncio.Task[str]":
         """Submits a job; the task returns its state, or code and `ran`."""
         values = {
@@ -205,7 +211,7 @@
 
         async def run() -> str:
             try:
-                return await self.scheduler.run(request, hostedrig.QUEUE, None)
+                return await self.scheduler.run(request, queue, None)
             except errors.Error as error:
                 return f"{error.kind.value} {error.ran.value}"
 
