Count only workers of the service that may be starting again as lost

Suspects wait, and queues are confined, by the share of workers that is lost. That counted workers that have left for good, of every service, for as long as their sidecar was connected: on a fleet with a third of its workers gone a suspect hardly ran at all. A worker counts for 10 s after it was lost, in its own service only. test_suspects_run_beside_workers_that_left_long_ago failed before.

--- a/packages/daemon/src/sardinerouted/dispatching/confinement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/confinement.py
@@ -121,12 +121,13 @@
 
 def _select(workers: list[sidecars.Sidecar]) -> tuple[frozenset[str], bool]:
     """Returns the workers to set aside, and whether to confine queues there."""
-    alive = [one.id for one in workers if not one.has_lost_its_worker]
-    lost = len(workers) - len(alive)
-    is_confined = lost >= _CONFINED_ABOVE_SHARE * len(workers)
-    size = round(_PART_SHARE * len(workers))
+    alive = [one.id for one in workers if one.is_usable]
+    lost = sum(one.has_lost_its_worker for one in workers)
+    total = len(alive) + lost
+    is_confined = lost > 0 and lost >= _CONFINED_ABOVE_SHARE * total
+    size = round(_PART_SHARE * total)
     if is_confined:
-        size = max(1, int(_MAX_EXPOSED_SHARE * len(workers)) - lost)
+        size = max(1, int(_MAX_EXPOSED_SHARE * total) - lost)
     return frozenset(sorted(alive, key=_rank)[:size]), is_confined
 
 
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -384,7 +384,12 @@
         That is where one runs already, or else those without suspect tasks of
         other jobs, unless too many workers are at risk or lost.
         """
-        fleet = self.fleet.all_sidecars()
+        fleet = [
+            sidecar
+            for sidecar in self.fleet.all_sidecars()
+            if sidecar.service == job.queue.service
+            and (sidecar.is_usable or sidecar.has_lost_its_worker)
+        ]
         exposed = [
             sidecar
             for sidecar in fleet
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -16,6 +16,9 @@
 # Added to the entry's lease: the worker's lease on a clock that is 2 % slow,
 # and the time to stop a run.
 WORKER_LEASE_MARGIN_MS = 520
+# A worker that isn't back by then has left for good: several times as long as
+# one takes to start.
+_MAX_RESTART_MS = 10_000
 # The clock offset is the largest one seen in the current and the previous
 # period of this length.
 _OFFSET_PERIOD_MS = 5_000
@@ -54,6 +57,7 @@
         self.trouble = 0
         self.is_followed = True
         self.lease_renewed_ms = 0
+        self._worker_lost_ms = -_MAX_RESTART_MS
         self._reported_ms = 0
         self._offset_ms: int | None = None
         self._previous_offset_ms: int | None = None
@@ -71,11 +75,12 @@
 
     @property
     def has_lost_its_worker(self) -> bool:
-        """Returns whether the sidecar is connected and has no worker."""
+        """Returns whether its worker is gone and may be starting again."""
         return (
             self.connection is not None
             and self.worker is not None
             and not self.worker.id
+            and self._clock.now_ms() - self._worker_lost_ms < _MAX_RESTART_MS
         )
 
     @property
@@ -123,6 +128,8 @@
 
     def update_worker(self, worker: runmessages.Worker) -> None:
         """Applies the sidecar's description of its worker."""
+        if self.worker_id and not worker.id:
+            self._worker_lost_ms = self._clock.now_ms()
         self.worker = worker
         self.service = worker.service or self.service
 
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -150,6 +150,24 @@
     asyncio.run(main())
 
 
+# Guards against counting workers that have left for good as lost for ever.
+def test_suspects_run_beside_workers_that_left_long_ago() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(9)
+        for sidecar in rig.sidecars[3:]:
+            await _report_crash(rig, sidecar)
+        await rig.advance(12_000)
+        submission = await rig.submit("job", estimate_ms=1_000)
+        (crashed,) = [one for one in rig.sidecars if one.starts()]
+        await _report_crash(rig, crashed, *crashed.starts())
+        await rig.advance(300)
+        assert _where(rig, "job", 2)
+        submission.cancel()
+
+    asyncio.run(main())
+
+
 def test_suspect_that_no_worker_may_run_in_time_is_given_up_early() -> None:
     async def main() -> None:
         rig = offlinerig.Rig()
