Encode starts of no suspect as earlier versions do

StartRun had gained a field, so that no stream between a process of before and one of after worked, in no state. The field is at the end now and left out while it has its default, so processes can be replaced in turn; only what is sent after a crash is new to a process of before. The new test failed with the field as it was.

--- a/packages/core/src/sardineroute_core/codec.py
+++ b/packages/core/src/sardineroute_core/codec.py
@@ -2,7 +2,8 @@
 
 A message is encoded as a msgpack extension type: the code identifies the
 message class, and the payload is the list of its field values. Messages in
-fields are encoded the same way.
+fields are encoded the same way. A field that was added to a message is left out
+while it has its default value, so that older peers can read the message.
 """
 
 import dataclasses
@@ -78,6 +79,10 @@
     cls: tuple(field.name for field in dataclasses.fields(cls))
     for cls in _CODES_BY_CLASS
 }
+# Defaults of fields that were added at the end of a message.
+_DEFAULTS_BY_CLASS: dict[type[Any], tuple[Any, ...]] = {
+    runmessages.StartRun: (False,),
+}
 _TYPES_BY_CLASS: dict[type[Any], tuple[Any, ...]] = {
     cls: tuple(
         getattr(field.type, "__origin__", field.type)
@@ -111,6 +116,10 @@
     if code is None:
         raise TypeError(f"{cls.__name__} is not a message class")
     values = [getattr(message, name) for name in _FIELDS_BY_CLASS[cls]]
+    for default in reversed(_DEFAULTS_BY_CLASS.get(cls, ())):
+        if values[-1] != default:
+            break
+        del values[-1]
     return msgpack.ExtType(code, msgpack.packb(values, default=_to_extension))
 
 
@@ -120,11 +129,14 @@
         raise MalformedMessage(f"unknown message code {code}")
     values = msgpack.unpackb(payload, ext_hook=_from_extension, use_list=False)
     types = _TYPES_BY_CLASS[cls]
-    if not isinstance(values, tuple) or len(values) != len(types):
+    optional = len(_DEFAULTS_BY_CLASS.get(cls, ()))
+    if not isinstance(values, tuple) or not (
+        len(types) - optional <= len(values) <= len(types)
+    ):
         raise MalformedMessage(
             f"the payload of {cls.__name__} is not a list of its fields"
         )
-    for value, expected in zip(values, types, strict=True):
+    for value, expected in zip(values, types, strict=False):
         if not isinstance(value, expected):
             raise MalformedMessage(
                 f"a field of {cls.__name__} has the wrong type"
--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -32,10 +32,10 @@
     priority: int
     rank: int
     may_wait: bool
-    is_suspect: bool
     start_by_ms: int
     lease_ms: int
     traceparent: str
+    is_suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -4,11 +4,15 @@
 """
 
 import asyncio
+import dataclasses
+
+import msgpack
 
 import executorrig
 import fakeworker
 import hostedrig
 import offlinerig
+from sardineroute_core import codec
 from sardineroute_core import runmessages
 from sardineroute_core import work
 from sardinerouted import crashes
@@ -296,3 +300,17 @@
         assert [row[0] for row in crash.runs] == ["cause"]
 
     executorrig.run(test, worker)
+
+
+# Guards against streams that break while processes are upgraded in turn.
+def test_start_of_no_suspect_is_encoded_as_by_earlier_versions() -> None:
+    start = fakeworker.start_message("job", 0)
+    fields = len(dataclasses.fields(start))
+    for is_suspect in False, True:
+        sent = dataclasses.replace(start, is_suspect=is_suspect)
+        unpacker = codec.unpacker()
+        unpacker.feed(codec.encode(sent))
+        assert list(unpacker) == [sent]
+        extension = msgpack.unpackb(codec.encode(sent))
+        values = msgpack.unpackb(extension.data)
+        assert len(values) == fields - (not is_suspect)
