Keep no malformed crash, and tell no peer of it

A crash whose rows can't be read was remembered before it was read, and told to each peer that connected, where it broke the stream again. Rows are checked before anything is kept.

--- a/packages/daemon/src/sardinerouted/crashes.py
+++ b/packages/daemon/src/sardinerouted/crashes.py
@@ -2,8 +2,10 @@
 
 import collections
 import dataclasses
+from typing import Any
 
 from sardineroute_core import clock
+from sardineroute_core import logs
 from sardineroute_core import runmessages
 
 # A run is young at a crash that is noticed within this time after its start. A
@@ -24,6 +26,8 @@
 # Limit on the confined queues.
 _MAX_QUEUES = 64
 
+_log = logs.get_logger("crashes")
+
 
 class History:
     """Recent crashes, bounded by age and by number."""
@@ -35,7 +39,17 @@
         ] = collections.OrderedDict()
 
     def add(self, crash: runmessages.WorkerCrash) -> bool:
-        """Adds a crash; returns whether it was not known before."""
+        """Adds a crash; returns whether it was not known before.
+
+        One with malformed rows is dropped: it would be told to all peers.
+        """
+        if not all(map(_is_run_row, crash.runs)):
+            _log.warning(
+                "A malformed crash was dropped.",
+                sidecar=crash.sidecar,
+                worker=crash.worker,
+            )
+            return False
         instance = (crash.worker, crash.incarnation)
         now_ms = self._clock.now_ms()
         self._remove_old(now_ms)
@@ -99,7 +113,13 @@
         """Confines queues; returns whether others have to be told."""
         now_ms = self._clock.now_ms()
         is_news = False
-        for queue, remaining_ms in message.rows:
+        for row in message.rows:
+            if not _is_queue_row(row):
+                _log.warning(
+                    "A malformed queue was dropped.", row=repr(row)[:60]
+                )
+                continue
+            queue, remaining_ms = row
             until_ms = now_ms + min(remaining_ms, CONFINED_MS)
             known_ms = self._until_ms_by_queue.get(queue, 0)
             if known_ms or len(self._until_ms_by_queue) < _MAX_QUEUES:
@@ -129,3 +149,23 @@
                 for queue, until_ms in self._until_ms_by_queue.items()
             )
         )
+
+
+def _is_run_row(row: Any) -> bool:
+    """Returns whether a row of a crash has job, step, index and age."""
+    return (
+        isinstance(row, tuple)
+        and len(row) == 4
+        and isinstance(row[0], str)
+        and all(isinstance(number, int) for number in row[1:])
+    )
+
+
+def _is_queue_row(row: Any) -> bool:
+    """Returns whether a row has a queue and a time."""
+    return (
+        isinstance(row, tuple)
+        and len(row) == 2
+        and isinstance(row[0], str)
+        and isinstance(row[1], int)
+    )
--- a/packages/daemon/src/sardinerouted/dispatching/confinement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/confinement.py
@@ -54,14 +54,9 @@
         fleet: list[sidecars.Sidecar],
     ) -> bool:
         """Records queues; returns whether other entries have to be told."""
-        for queue, remaining_ms in message.rows:
-            if queue not in self._queues:
-                _log.warning(
-                    "Tasks of the queue crash workers.",
-                    queue=queue,
-                    watched_ms=remaining_ms,
-                )
         is_news = self._queues.extend(message)
+        if is_news:
+            _log.warning("Tasks of queues crash workers.", rows=message.rows)
         self.update(fleet)
         return is_news
 
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -22,8 +22,10 @@
 from sardineroute_platform import heartbeats
 from sardineroute_platform import store
 from sardineroute_platform import worker_client
+from sardinerouted import crashes
 from sardinerouted import dialing
 from sardinerouted import supervision
+from sardinerouted.dispatching import suspects
 from sardinerouted.hosted import discovery
 
 _RUN = hosting.RunRef(work.TaskId("0123456789abcdef", 0, 0), 1)
@@ -297,3 +299,21 @@
 
     monkeypatch.setattr(codec, "MAX_MESSAGE_BYTES", 10_000)
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "row",
+    [(), ("job", 0, 0), (1, 0, 0, 5), ("job", "0", 0, 5), ("job", 0, 0, None)],
+)
+def test_malformed_crash_is_neither_kept_nor_told(row: Any) -> None:
+    known = suspects.Suspects(clock.FakeClock().clock())
+    crash = runmessages.WorkerCrash("sidecar", "worker", 1, 0, (row,))
+    assert known.record(crash) == ""
+    assert not known.crashes_at("sidecar").crashes
+
+
+@pytest.mark.parametrize("row", [(), ("queue",), (1, 1), ("queue", "1")])
+def test_malformed_queue_is_not_confined(row: Any) -> None:
+    known = crashes.ConfinedQueues(clock.FakeClock().clock())
+    assert known.extend(runmessages.ConfinedQueues((row, ("other", 9_000))))
+    assert known.message().rows == (("other", 9_000),)
