Send a suspect that is refused beside another one elsewhere

An entry doesn't know of the suspects of others. A sidecar that had one refused the second, and the entry sent it there again every 30 ms while that worker had the most free capacity, until the job was too late. The new test failed before (the third run was sent to the refusing sidecar).

--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -143,11 +143,20 @@
         now_ms: The current time.
         far_factor: Factor on the run time of a task far from its data.
     """
-    choices = [
-        _evaluate(task, sidecar, now_ms, far_factor)
+    healthy = [
+        sidecar
         for sidecar in candidates(task, fleet)
         if not is_in_trouble(sidecar)
     ]
+    unavoided = [
+        sidecar
+        for sidecar in healthy
+        if sidecar.id not in task.avoided_sidecar_ids
+    ]
+    choices = [
+        _evaluate(task, sidecar, now_ms, far_factor)
+        for sidecar in unavoided or healthy
+    ]
     startable = [choice for choice in choices if choice.expected_wait_ms == 0]
     on_time = [choice for choice in startable if choice.is_on_time]
     priority = task.job.queue.priority
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -496,6 +496,9 @@
             work.Outcome.REFUSED_BUSY,
             work.Outcome.REFUSED_ISOLATED,
         ):
+            if outcome is work.Outcome.REFUSED_ISOLATED:
+                # A suspect of another entry runs there.
+                task.avoided_sidecar_ids |= {sidecar.id}
             asyncio.get_running_loop().call_later(
                 _BUSY_RETRY_DELAY_MS / 1_000, self._place_queued, job
             )
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -154,6 +154,32 @@
     asyncio.run(main())
 
 
+# Guards against a suspect that is sent to the same worker again and again, as
+# its entry doesn't know of the suspects of others.
+def test_suspect_refused_beside_another_is_sent_elsewhere() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(6)
+        submission = await rig.submit("job", estimate_ms=1_000)
+        (crashed,) = [one for one in rig.sidecars if one.starts()]
+        await _report_crash(rig, crashed, *crashed.starts())
+        await rig.advance(100)
+        (where,) = _where(rig, "job", 2)
+        for sidecar in rig.sidecars:
+            if sidecar.id not in (where, crashed.id):
+                await sidecar.report(free_millicores=2_000)
+        (refusing,) = [one for one in rig.sidecars if one.id == where]
+        await refusing.report()
+        await refusing.end(refusing.starts()[-1], work.Outcome.REFUSED_ISOLATED)
+        await asyncio.sleep(0.04)
+        await rig.advance(100)
+        assert _where(rig, "job", 3)
+        assert _where(rig, "job", 3) != {where}
+        submission.cancel()
+
+    asyncio.run(main())
+
+
 # Guards against counting workers that have left for good as lost for ever.
 def test_suspects_run_beside_workers_that_left_long_ago() -> None:
     async def main() -> None:
