--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -19,6 +19,7 @@
 from sardinerouted.dispatching import jobmetrics
 from sardinerouted.dispatching import jobs
 from sardinerouted.dispatching import placement
+from sardinerouted.dispatching import planning
 from sardinerouted.dispatching import sidecars
 from sardinerouted.dispatching import starts
 from sardinerouted.dispatching import stragglers
@@ -47,9 +48,6 @@
 # A task whose runs were lost this often is given up: what it runs on may be
 # lost because of it, also where no crash was seen.
 _MAX_LOST_RUNS = 4
-# Tasks that are suspected of crashing workers are placed only while less than
-# this share of the workers is lost or runs one of them.
-_MAX_EXPOSED_SHARE = 0.4
 # Refused because a run of another attempt of the job exists, so that the task
 # may have run.
 _OTHER_ATTEMPT_OUTCOMES = (work.Outcome.REFUSED_OLD, work.Outcome.REFUSED_BUSY)
@@ -95,7 +93,6 @@
         warm_up_until_ms: int = 0,
     ) -> None:
         self._clock = time
-        self._far_factor = far_factor
         self._warm_up_until_ms = warm_up_until_ms
         self.routing_table: routing.Table | None = None
         self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
@@ -105,6 +102,9 @@
         self.fleet.on_crashes = self._handle_crashes
         self.fleet.on_confined_queues = self._handle_confined_queues
         self.fleet.crashes_at = self._suspects.crashes_at
+        self._planner = planning.Planner(
+            time, self.fleet, self._suspects, self._confinement, far_factor
+        )
         self._congestion = congestion.Congestion()
         self._was_congested = False
         self._estimates = estimates.Estimates()
@@ -283,7 +283,7 @@
 
         No task of the job may have started yet.
         """
-        choices = self._plan_placements(job)
+        choices = self._planner.plan(job)
         if len(choices) < len(job.queued_tasks()):
             # `_check_job` tries again for a short while.
             return
@@ -314,101 +314,6 @@
                 task, choice, now_ms, self._suspects.is_suspect(task.id)
             )
 
-    def _plan_placements(
-        self, job: jobs.Job
-    ) -> list[tuple[jobs.Task, placement.Choice]]:
-        """Returns the best choice for each queued task that can run somewhere.
-
-        Resources are reserved for each task while the next ones are planned.
-        """
-        choices: list[tuple[jobs.Task, placement.Choice]] = []
-        reserved_sidecars: list[sidecars.Sidecar] = []
-        now_ms = self._clock.now_ms()
-        isolated: list[sidecars.Sidecar] | None = None
-        try:
-            for task in job.queued_tasks():
-                if self._suspects.is_suspect(task.id):
-                    if isolated is None:
-                        isolated = self._isolated_sidecars(job)
-                    choice = placement.choose_isolated(
-                        task, isolated, now_ms, self._far_factor
-                    )
-                    if choice is not None:
-                        # All suspects of a job put one worker at risk.
-                        isolated = [choice.sidecar]
-                else:
-                    choice = self._choose_in_fleet(task, now_ms)
-                if choice is None:
-                    continue
-                choice.sidecar.capacity.reserve(task.step.size)
-                reserved_sidecars.append(choice.sidecar)
-                choices.append((task, choice))
-        finally:
-            for sidecar in reserved_sidecars:
-                sidecar.capacity.release_reserved()
-        return choices
-
-    def _choose_in_fleet(
-        self, task: jobs.Task, now_ms: int
-    ) -> placement.Choice | None:
-        """Returns the best choice among the followed sidecars.
-
-        Without one that is on time it is the best of the whole fleet, though
-        what is known of the other sidecars is up to a heartbeat old.
-        """
-        for label in (task.step.required_label, task.step.data_rack):
-            if label:
-                self.fleet.want_label(label)
-        followed, others = self.fleet.split()
-        fleets = [followed, followed + others] if others else [followed]
-        queue = task.job.queue
-        if self._confinement.sets_aside(queue):
-            preferred = [
-                self._confinement.preferred(queue, fleet) for fleet in fleets
-            ]
-            # A label may have no worker among those of a confined queue.
-            may_run_elsewhere = (
-                not self._confinement.is_confined(queue)
-                or task.step.required_label
-            )
-            fleets = preferred + (fleets if may_run_elsewhere else [])
-        for fleet in fleets:
-            choice = self._choose(task, fleet, now_ms)
-            if choice is not None and choice.is_on_time:
-                break
-        return choice
-
-    def _isolated_sidecars(self, job: jobs.Job) -> list[sidecars.Sidecar]:
-        """Returns the sidecars where suspect tasks of a job may run.
-
-        That is where one runs already, or else those without suspect tasks of
-        other jobs, unless too many workers are at risk or lost.
-        """
-        fleet = [
-            sidecar
-            for sidecar in self.fleet.all_sidecars()
-            if sidecar.service == job.queue.service
-            and (sidecar.is_usable or sidecar.has_lost_its_worker)
-        ]
-        exposed = [
-            sidecar
-            for sidecar in fleet
-            if any(map(self._suspects.is_suspect, sidecar.tasks_by_id))
-        ]
-        own = [
-            sidecar
-            for sidecar in exposed
-            if any(task.job == job.request.id for task in sidecar.tasks_by_id)
-        ]
-        if own:
-            return own
-        lost = sum(sidecar.has_lost_its_worker for sidecar in fleet)
-        if lost + len(exposed) >= max(1.0, _MAX_EXPOSED_SHARE * len(fleet)):
-            return []
-        unexposed = [sidecar for sidecar in fleet if sidecar not in exposed]
-        preferred = self._confinement.preferred(job.queue, unexposed)
-        return [one for one in preferred if one.is_usable] or unexposed
-
     def _handle_crashes(self, message: runmessages.Crashes) -> None:
         """Draws the conclusions from crashes that a sidecar reports."""
         for crash in message.crashes:
@@ -439,11 +344,6 @@
             self._confinement.confine(job.queue.name, self.fleet.all_sidecars())
             self._end(job, jobs.State.FAILED, None)
 
-    def _choose(
-        self, task: jobs.Task, fleet: list[sidecars.Sidecar], now_ms: int
-    ) -> placement.Choice | None:
-        return placement.choose(task, fleet, now_ms, self._far_factor)
-
     def _handle_run_end(
         self,
         task: jobs.Task,
@@ -552,7 +452,7 @@
         now_ms = self._clock.now_ms()
         remaining_ms = self._expiry_ms(job) - now_ms
         # Tasks that can't be placed are checked again until the deadline.
-        choices = self._plan_placements(job)
+        choices = self._planner.plan(job)
         if any(
             choice.expected_wait_ms > 0
             and choice.expected_completion_ms > remaining_ms
@@ -612,7 +512,7 @@
             elif task.phase is jobs.Phase.PLACED:
                 sidecars_by_id = self.fleet.sidecars_by_id
                 if not is_congested and stragglers.is_stuck(
-                    task, sidecars_by_id, now_ms, self._choose
+                    task, sidecars_by_id, now_ms, self._planner.choose
                 ):
                     task.avoided_sidecar_ids |= {task.sidecar_id}
                     self.fleet.stop_runs([task])
