Run a suspect beside suspects of its own job only

A suspect went where any task of its job was beside any suspect. That may be a harmless task of its own beside the suspect of another job: the sidecar refused the suspect there, and its entry sent it there again until it was too late. Only where a suspect of the same job is counts now. The new test fails with the former condition.

--- a/packages/daemon/src/sardinerouted/dispatching/planning.py
+++ b/packages/daemon/src/sardinerouted/dispatching/planning.py
@@ -118,21 +118,30 @@
             if sidecar.service == job.queue.service
             and (sidecar.is_usable or sidecar.has_lost_its_worker)
         ]
-        exposed = [
-            sidecar
-            for sidecar in fleet
-            if any(map(self._suspects.is_suspect, sidecar.tasks_by_id))
-        ]
+        suspect_jobs = [self._suspect_jobs(sidecar) for sidecar in fleet]
         own = [
             sidecar
-            for sidecar in exposed
-            if any(task.job == job.request.id for task in sidecar.tasks_by_id)
+            for sidecar, suspect_ids in zip(fleet, suspect_jobs, strict=True)
+            if job.request.id in suspect_ids
         ]
         if own:
             return own
+        unexposed = [
+            sidecar
+            for sidecar, suspect_ids in zip(fleet, suspect_jobs, strict=True)
+            if not suspect_ids
+        ]
+        exposed = len(fleet) - len(unexposed)
         lost = sum(sidecar.has_lost_its_worker for sidecar in fleet)
-        if lost + len(exposed) >= max(1.0, _MAX_EXPOSED_SHARE * len(fleet)):
+        if lost + exposed >= max(1.0, _MAX_EXPOSED_SHARE * len(fleet)):
             return []
-        unexposed = [sidecar for sidecar in fleet if sidecar not in exposed]
         preferred = self._confinement.preferred(job.queue, unexposed)
         return [one for one in preferred if one.is_usable] or unexposed
+
+    def _suspect_jobs(self, sidecar: sidecars.Sidecar) -> set[str]:
+        """Returns the ids of the jobs whose suspects are at a sidecar."""
+        return {
+            task.job
+            for task in sidecar.tasks_by_id
+            if self._suspects.is_suspect(task)
+        }
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -180,6 +180,38 @@
     asyncio.run(main())
 
 
+# Guards against running a suspect where only harmless tasks of its job are,
+# beside the suspect of another job.
+def test_suspect_runs_apart_from_one_beside_a_task_of_its_job() -> None:
+    async def main() -> None:
+        rig = offlinerig.Rig()
+        await rig.add_sidecars(9)
+        first = await rig.submit("first", estimate_ms=2_000)
+        (crashed,) = [one for one in rig.sidecars if one.starts()]
+        await _report_crash(rig, crashed, *crashed.starts())
+        await rig.advance(100)
+        (suspect_at,) = _where(rig, "first", 2)
+        alive = [one for one in rig.sidecars if one is not crashed]
+        other = next(one for one in alive if one.id != suspect_at)
+        for sidecar in alive:
+            is_free = sidecar is other or sidecar.id == suspect_at
+            await sidecar.report(free_millicores=1_000 if is_free else 0)
+        second = await rig.submit("second", tasks=2, estimate_ms=2_000)
+        assert _where(rig, "second", 1) == {suspect_at, other.id}
+        start = other.starts()[-1]
+        await _report_crash(rig, other, start)
+        for sidecar in alive:
+            if sidecar is not other:
+                await sidecar.report()
+        await rig.advance(100)
+        assert _where(rig, "second", 2)
+        assert suspect_at not in _where(rig, "second", 2)
+        for submission in first, second:
+            submission.cancel()
+
+    asyncio.run(main())
+
+
 # Guards against counting workers that have left for good as lost for ever.
 def test_suspects_run_beside_workers_that_left_long_ago() -> None:
     async def main() -> None:
