Name the task, its runs' ages and the last crash in the line for on-call

The line named the job only: which of its tasks it was, and on what evidence, had to be searched for in the sidecars' logs. The order of the remembered tasks is by their last crash now, so that the limit drops the oldest.

--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -318,7 +318,7 @@
         """Draws the conclusions from crashes that a sidecar reports."""
         for crash in message.crashes:
             culprit = self._suspects.record(crash)
-            if culprit:
+            if culprit is not None:
                 self._give_up_culprit(culprit, crash)
 
     def _handle_confined_queues(
@@ -327,17 +327,20 @@
         self._confinement.apply(message, self.fleet.all_sidecars())
 
     def _give_up_culprit(
-        self, job_id: str, crash: runmessages.WorkerCrash
+        self, culprit: suspicion.Culprit, latest: runmessages.WorkerCrash
     ) -> None:
-        job = self._jobs_by_id.get(job_id)
+        job = self._jobs_by_id.get(culprit.task.job)
         _log.warning(
-            "A job crashes the workers that run it; it is not run again.",
-            job=job_id,
+            "A task crashes the workers that run it; its job is not run again.",
+            job=culprit.task.job,
+            step=culprit.task.step,
+            index=culprit.task.index,
             queue=job.queue.name if job else "",
             known_here=job is not None,
-            crashed=self._suspects.crashes_of(job_id),
-            latest=crash.worker,
-            beside=len({row[0] for row in crash.runs}) - 1,
+            crashed=culprit.workers,
+            ages_ms=culprit.ages_ms,
+            latest_at=latest.sidecar,
+            beside=len(latest.runs) - 1,
         )
         if job is not None:
             jobmetrics.count_culprit(job.queue.name)
--- a/packages/daemon/src/sardinerouted/dispatching/suspects.py
+++ b/packages/daemon/src/sardinerouted/dispatching/suspects.py
@@ -39,16 +39,34 @@
     Attributes:
         worker: The id of the worker that crashed.
         incarnation: The incarnation of that worker.
-        stage: How far the task's run was.
+        age_ms: The age of the task's run; -1 if its start was not confirmed.
+        stage: How far the run was.
         is_likely: Whether no other run was at a likelier stage.
     """
 
     worker: str
     incarnation: int
+    age_ms: int
     stage: _Stage
     is_likely: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Culprit:
+    """A task that crashes the workers that run it, and the evidence.
+
+    Attributes:
+        task: The task.
+        workers: The ids of the workers that crashed, in order.
+        ages_ms: How old the task's run was at each crash; -1 if its start was
+            not confirmed.
+    """
+
+    task: work.TaskId
+    workers: tuple[str, ...]
+    ages_ms: tuple[int, ...]
+
+
 class Suspects:
     """What an entry concludes from the crashes that sidecars report."""
 
@@ -57,24 +75,17 @@
         self._involvements_by_task: collections.OrderedDict[
             work.TaskId, tuple[_Involvement, ...]
         ] = collections.OrderedDict()
-        self._workers_by_culprit: collections.OrderedDict[
-            str, tuple[str, ...]
-        ] = collections.OrderedDict()
+        self._culprits_by_job: collections.OrderedDict[str, Culprit] = (
+            collections.OrderedDict()
+        )
 
     def is_culprit(self, job_id: str) -> bool:
         """Returns whether a job has crashed workers and must not run again."""
-        return job_id in self._workers_by_culprit
-
-    def crashes_of(self, job_id: str) -> tuple[str, ...]:
-        """Returns the workers that a culprit has crashed, in order."""
-        return self._workers_by_culprit.get(job_id, ())
+        return job_id in self._culprits_by_job
 
     def is_suspect(self, task: work.TaskId) -> bool:
         """Returns whether a task is to run apart from other suspects."""
-        involvements = self._involvements_by_task.get(task, ())
-        return len(involvements) > 1 or any(
-            involvement.is_likely for involvement in involvements
-        )
+        return _are_suspicious(self._involvements_by_task.get(task, ()))
 
     def has_begun(self, task: work.TaskId) -> bool:
         """Returns whether a run of a task has been lost in a crash."""
@@ -84,39 +95,47 @@
         """Returns the message about the crashes that a sidecar has noticed."""
         return self._history.message(sidecar)
 
-    def record(self, crash: runmessages.WorkerCrash) -> str:
-        """Records a crash; returns the job that is found to have caused it.
+    def record(self, crash: runmessages.WorkerCrash) -> Culprit | None:
+        """Records a crash; returns the task that is found to have caused it.
 
-        Returns an empty string if the crash was known, or its cause isn't.
+        Returns None if the crash was known, or its cause isn't.
         """
         if not self._history.add(crash) or any(
             self.is_culprit(job) for job, *_ in crash.runs
         ):
-            return ""
-        stages = {
-            work.TaskId(job, step, index): _stage(age_ms)
+            return None
+        ages_ms = {
+            work.TaskId(job, step, index): age_ms
             for job, step, index, age_ms in crash.runs
         }
+        stages = {task: _stage(age_ms) for task, age_ms in ages_ms.items()}
         likeliest = min(stages.values(), default=_Stage.OLD)
-        cause = self._find_cause(stages, likeliest)
-        if cause is not None:
-            explained = self._involvements_by_task[cause]
-            self._workers_by_culprit[cause.job] = (
-                *(one.worker for one in explained),
-                crash.worker,
-            )
-            _limit(self._workers_by_culprit)
-            self._clear_bystanders(explained)
-            return cause.job
         for task, stage in stages.items():
             self._involvements_by_task[task] = (
                 *self._involvements_by_task.get(task, ()),
                 _Involvement(
-                    crash.worker, crash.incarnation, stage, stage is likeliest
+                    crash.worker,
+                    crash.incarnation,
+                    ages_ms[task],
+                    stage,
+                    stage is likeliest,
                 ),
             )
+            self._involvements_by_task.move_to_end(task)
         _limit(self._involvements_by_task)
-        return ""
+        cause = self._find_cause(list(stages), likeliest)
+        if cause is None:
+            return None
+        explained = self._involvements_by_task[cause]
+        culprit = Culprit(
+            cause,
+            tuple(one.worker for one in explained),
+            tuple(one.age_ms for one in explained),
+        )
+        self._culprits_by_job[cause.job] = culprit
+        _limit(self._culprits_by_job)
+        self._clear(explained)
+        return culprit
 
     def record_success(self, task: work.TaskId) -> None:
         """Clears a task that has ended well."""
@@ -124,34 +143,45 @@
             self._involvements_by_task[task] = ()
 
     def _find_cause(
-        self, stages: dict[work.TaskId, _Stage], likeliest: _Stage
+        self, tasks: list[work.TaskId], likeliest: _Stage
     ) -> work.TaskId | None:
         """Returns the task that must have caused a crash, if there is one.
 
-        It belongs to the only job with a suspect that is likely now and was as
-        far at its earlier crash. A suspect that wasn't, or suspects of several
-        jobs, may have stood by; such a task is taken for the cause at its last
-        crash only, a likely one first.
+        It belongs to the only job with an earlier suspect that is likely now
+        and was as far at its earlier crash. A suspect that wasn't, or suspects
+        of several jobs, may have stood by; such a task is taken for the cause
+        at its last crash only, a likely one first.
 
         Args:
-            stages: How far the runs of the crashed worker were, by task.
-            likeliest: The likeliest of these stages.
+            tasks: The tasks that the crashed worker had.
+            likeliest: The likeliest stage of their runs.
         """
-        suspects = [task for task in stages if self.is_suspect(task)]
-        likely = [task for task in suspects if stages[task] is likeliest]
+        earlier_by_task = {
+            task: self._involvements_by_task[task][:-1] for task in tasks
+        }
+        suspects = [
+            task
+            for task, earlier in earlier_by_task.items()
+            if _are_suspicious(earlier)
+        ]
+        likely = [
+            task
+            for task in suspects
+            if self._involvements_by_task[task][-1].is_likely
+        ]
         alike = [
             task
             for task in likely
-            if self._involvements_by_task[task][-1].stage is likeliest
+            if earlier_by_task[task][-1].stage is likeliest
         ]
         if len({task.job for task in alike}) == 1:
             return alike[0]
         for task in likely + suspects:
-            if len(self._involvements_by_task[task]) >= _MAX_CRASHES - 1:
+            if len(earlier_by_task[task]) >= _MAX_CRASHES - 1:
                 return task
         return None
 
-    def _clear_bystanders(self, explained: tuple[_Involvement, ...]) -> None:
+    def _clear(self, explained: tuple[_Involvement, ...]) -> None:
         """Clears all tasks of crashes whose cause is known."""
         instances = {(one.worker, one.incarnation) for one in explained}
         for task, involvements in self._involvements_by_task.items():
@@ -162,6 +192,10 @@
             )
 
 
+def _are_suspicious(involvements: tuple[_Involvement, ...]) -> bool:
+    return len(involvements) > 1 or any(one.is_likely for one in involvements)
+
+
 def _stage(age_ms: int) -> _Stage:
     if age_ms < 0:
         return _Stage.UNCONFIRMED
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -308,7 +308,7 @@
 def test_malformed_crash_is_neither_kept_nor_told(row: Any) -> None:
     known = suspects.Suspects(clock.FakeClock().clock())
     crash = runmessages.WorkerCrash("sidecar", "worker", 1, 0, (row,))
-    assert known.record(crash) == ""
+    assert known.record(crash) is None
     assert not known.crashes_at("sidecar").crashes
 
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -24,6 +24,12 @@
     return runmessages.WorkerCrash("sidecar", f"worker-{worker}", 1, 0, rows)
 
 
+def _record(known: suspects.Suspects, crash: runmessages.WorkerCrash) -> str:
+    """Records a crash; returns the job that caused it, or an empty string."""
+    culprit = known.record(crash)
+    return culprit.task.job if culprit else ""
+
+
 def _is_suspect(known: suspects.Suspects, job: str) -> bool:
     return known.is_suspect(work.TaskId(job, 0, 0))
 
@@ -31,7 +37,7 @@
 def test_run_that_had_just_started_is_suspected_first(
     known: suspects.Suspects,
 ) -> None:
-    assert known.record(_crash(1, cause=_YOUNG_MS, other=_OLD_MS)) == ""
+    assert _record(known, _crash(1, cause=_YOUNG_MS, other=_OLD_MS)) == ""
     assert _is_suspect(known, "cause")
     assert not _is_suspect(known, "other")
 
@@ -39,7 +45,7 @@
 def test_without_a_young_run_all_are_suspected(
     known: suspects.Suspects,
 ) -> None:
-    known.record(_crash(1, first=_OLD_MS, second=_OLD_MS))
+    _record(known, _crash(1, first=_OLD_MS, second=_OLD_MS))
     assert _is_suspect(known, "first")
     assert _is_suspect(known, "second")
 
@@ -47,11 +53,13 @@
 def test_the_only_suspect_of_a_second_crash_is_the_cause(
     known: suspects.Suspects,
 ) -> None:
-    known.record(_crash(1, cause=_YOUNG_MS, other=_YOUNG_MS))
-    found = known.record(_crash(2, cause=_YOUNG_MS, beside=_YOUNG_MS))
-    assert found == "cause"
+    _record(known, _crash(1, cause=_YOUNG_MS, other=_YOUNG_MS))
+    found = known.record(_crash(2, cause=_YOUNG_MS + 1, beside=_YOUNG_MS))
+    assert found is not None
+    assert found.task == work.TaskId("cause", 0, 0)
+    assert found.workers == ("worker-1", "worker-2")
+    assert found.ages_ms == (_YOUNG_MS, _YOUNG_MS + 1)
     assert known.is_culprit("cause")
-    assert known.crashes_of("cause") == ("worker-1", "worker-2")
     # The crash is explained, and blames nobody else.
     assert not _is_suspect(known, "beside")
 
@@ -64,46 +72,46 @@
         crash = runmessages.WorkerCrash(
             "sidecar", f"worker-{worker}", 1, 0, (("job", 0, index, _YOUNG_MS),)
         )
-        assert known.record(crash) == ""
+        assert _record(known, crash) == ""
     assert not known.is_culprit("job")
 
 
 def test_start_that_was_not_confirmed_is_suspected_after_young_runs(
     known: suspects.Suspects,
 ) -> None:
-    known.record(_crash(1, unconfirmed=-1, young=_YOUNG_MS))
+    _record(known, _crash(1, unconfirmed=-1, young=_YOUNG_MS))
     assert not _is_suspect(known, "unconfirmed")
-    known.record(_crash(2, alone=-1, old=_OLD_MS))
+    _record(known, _crash(2, alone=-1, old=_OLD_MS))
     assert _is_suspect(known, "alone")
     assert not _is_suspect(known, "old")
-    assert known.record(_crash(3, alone=-1)) == "alone"
+    assert _record(known, _crash(3, alone=-1)) == "alone"
 
 
 # Guards against giving up jobs for having stood beside the cause twice.
 def test_bystander_of_two_crashes_is_not_the_cause(
     known: suspects.Suspects,
 ) -> None:
-    known.record(_crash(1, cause=_YOUNG_MS, bystander=_YOUNG_MS))
-    assert known.record(_crash(2, cause=_YOUNG_MS)) == "cause"
-    assert known.record(_crash(3, next=_YOUNG_MS, bystander=_OLD_MS)) == ""
+    _record(known, _crash(1, cause=_YOUNG_MS, bystander=_YOUNG_MS))
+    assert _record(known, _crash(2, cause=_YOUNG_MS)) == "cause"
+    assert _record(known, _crash(3, next=_YOUNG_MS, bystander=_OLD_MS)) == ""
     assert not known.is_culprit("bystander")
 
 
 def test_two_suspects_at_one_crash_are_tried_once_more(
     known: suspects.Suspects,
 ) -> None:
-    known.record(_crash(1, cause=_YOUNG_MS, other=_YOUNG_MS))
-    assert known.record(_crash(2, cause=_YOUNG_MS, other=_YOUNG_MS)) == ""
-    assert known.record(_crash(3, cause=_YOUNG_MS)) == "cause"
+    _record(known, _crash(1, cause=_YOUNG_MS, other=_YOUNG_MS))
+    assert _record(known, _crash(2, cause=_YOUNG_MS, other=_YOUNG_MS)) == ""
+    assert _record(known, _crash(3, cause=_YOUNG_MS)) == "cause"
     assert not known.is_culprit("other")
 
 
 def test_no_job_is_run_after_three_crashes_that_it_may_have_caused(
     known: suspects.Suspects,
 ) -> None:
-    known.record(_crash(1, first=_YOUNG_MS, second=_YOUNG_MS))
-    known.record(_crash(2, first=_YOUNG_MS, second=_YOUNG_MS))
-    found = known.record(_crash(3, first=1, second=_YOUNG_MS))
+    _record(known, _crash(1, first=_YOUNG_MS, second=_YOUNG_MS))
+    _record(known, _crash(2, first=_YOUNG_MS, second=_YOUNG_MS))
+    found = _record(known, _crash(3, first=1, second=_YOUNG_MS))
     assert found == "first"
 
 
@@ -111,10 +119,10 @@
 def test_task_that_crashes_workers_late_takes_down_three_at_most(
     known: suspects.Suspects, beside: dict[str, int]
 ) -> None:
-    known.record(_crash(1, cause=_OLD_MS, one=_YOUNG_MS))
-    known.record(_crash(2, cause=_OLD_MS, two=_YOUNG_MS))
+    _record(known, _crash(1, cause=_OLD_MS, one=_YOUNG_MS))
+    _record(known, _crash(2, cause=_OLD_MS, two=_YOUNG_MS))
     assert _is_suspect(known, "cause")
-    assert known.record(_crash(3, cause=_OLD_MS, **beside)) == "cause"
+    assert _record(known, _crash(3, cause=_OLD_MS, **beside)) == "cause"
 
 
 # Guards against blaming a task for crashes that others have caused.
@@ -123,10 +131,10 @@
 ) -> None:
     for number, cause in enumerate(("first", "second", "third")):
         runs = {cause: _YOUNG_MS, "bystander": _YOUNG_MS}
-        assert known.record(_crash(2 * number, **runs)) == ""
+        assert _record(known, _crash(2 * number, **runs)) == ""
         assert _is_suspect(known, "bystander")
         crash = _crash(2 * number + 1, **{cause: _YOUNG_MS})
-        assert known.record(crash) == cause
+        assert _record(known, crash) == cause
         assert not _is_suspect(known, "bystander")
     # Its runs have begun all the same, and it is not told as not run.
     assert known.has_begun(work.TaskId("bystander", 0, 0))
@@ -136,23 +144,23 @@
 def test_suspect_of_another_age_is_not_blamed_at_its_second_crash(
     known: suspects.Suspects,
 ) -> None:
-    known.record(_crash(1, job=_YOUNG_MS))
-    assert known.record(_crash(2, job=_OLD_MS, other=_OLD_MS)) == ""
+    _record(known, _crash(1, job=_YOUNG_MS))
+    assert _record(known, _crash(2, job=_OLD_MS, other=_OLD_MS)) == ""
     assert not known.is_culprit("job")
 
 
 def test_suspect_that_ends_well_is_cleared(known: suspects.Suspects) -> None:
-    known.record(_crash(1, job=_YOUNG_MS))
+    _record(known, _crash(1, job=_YOUNG_MS))
     known.record_success(work.TaskId("job", 0, 0))
     assert not _is_suspect(known, "job")
-    assert known.record(_crash(2, job=_YOUNG_MS)) == ""
+    assert _record(known, _crash(2, job=_YOUNG_MS)) == ""
 
 
 def test_crash_that_several_sidecars_tell_of_counts_once(
     known: suspects.Suspects,
 ) -> None:
     for _ in range(3):
-        assert known.record(_crash(1, job=_YOUNG_MS)) == ""
+        assert _record(known, _crash(1, job=_YOUNG_MS)) == ""
     assert not known.is_culprit("job")
 
 
