Suspect a start without an answer as much as a run that has just begun

The starts of suspects are kept apart from those of other jobs, so only runs of others can make a suspect less likely, and a start that is not confirmed counts as early as a young run. The new test failed before.

--- a/packages/daemon/src/sardinerouted/dispatching/suspects.py
+++ b/packages/daemon/src/sardinerouted/dispatching/suspects.py
@@ -126,7 +126,7 @@
             )
             self._involvements_by_task.move_to_end(task)
         _limit(self._involvements_by_task)
-        cause = self._find_cause(list(stages), likeliest)
+        cause = self._find_cause(stages)
         if cause is None:
             return None
         explained = self._involvements_by_task[cause]
@@ -146,7 +146,7 @@
             self._involvements_by_task[task] = ()
 
     def _find_cause(
-        self, tasks: list[work.TaskId], likeliest: _Stage
+        self, stages: dict[work.TaskId, _Stage]
     ) -> work.TaskId | None:
         """Returns the task that must have caused a crash, if there is one.
 
@@ -156,26 +156,32 @@
         at its last crash only.
 
         Args:
-            tasks: The tasks that the crashed worker had.
-            likeliest: The likeliest stage of their runs.
+            stages: How far the runs of the crashed worker were, by task.
         """
         earlier_by_task = {
-            task: self._involvements_by_task[task][:-1] for task in tasks
+            task: self._involvements_by_task[task][:-1] for task in stages
         }
         suspects = [
             task
             for task, earlier in earlier_by_task.items()
             if _are_suspicious(earlier)
         ]
+        # The start of a suspect is kept apart from starts of other jobs only.
         likely = [
             task
             for task in suspects
-            if self._involvements_by_task[task][-1].is_likely
+            if all(
+                stages[task] <= stage
+                for other, stage in stages.items()
+                if other.job != task.job
+            )
         ]
+        # A start that is not confirmed yet is as early as a young run.
         alike = [
             task
             for task in likely
-            if earlier_by_task[task][-1].stage is likeliest
+            if (stages[task] is _Stage.OLD)
+            == (earlier_by_task[task][-1].stage is _Stage.OLD)
         ]
         if len({task.job for task in alike}) == 1:
             return alike[0]
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -87,6 +87,17 @@
     assert _record(known, _crash(3, alone=-1)) == "alone"
 
 
+# Guards against a third crash where the answer to the start of the cause is
+# lost with the worker, and other tasks of its job have just started.
+def test_suspect_whose_start_is_not_confirmed_is_found_beside_its_job(
+    known: suspects.Suspects,
+) -> None:
+    _record(known, _crash(1, cause=_YOUNG_MS, other=_YOUNG_MS))
+    rows = (("cause", 0, 0, -1), ("cause", 0, 2, _YOUNG_MS))
+    crash = runmessages.WorkerCrash("sidecar", "worker-2", 1, 0, rows)
+    assert _record(known, crash) == "cause"
+
+
 # Guards against giving up jobs for having stood beside the cause twice.
 def test_bystander_of_two_crashes_is_not_the_cause(
     known: suspects.Suspects,
