Recognize a crash that is told again after many others

A sidecar tells of its crashes again on each new connection. An entry kept 64 crashes to compare with, so in a larger fleet an older one counted as new, and a task that was at it once became the cause of two. The last 4,096 crashes are recognized now, by worker and incarnation. The new test failed before.

--- a/packages/daemon/src/sardinerouted/crashes.py
+++ b/packages/daemon/src/sardinerouted/crashes.py
@@ -14,8 +14,11 @@
 # How long a crash is remembered: callers send a job again for some seconds, or
 # by hand some minutes later.
 _RETENTION_MS = 600_000
-# Limit on the remembered crashes, and so on the message that lists them.
+# Limit on the crashes whose runs are remembered, and so on the message that
+# lists them.
 _MAX_CRASHES = 64
+# Limit on the crashes that are recognized when they are told again.
+_MAX_KNOWN = 4_096
 # Limit on the runs of one crash; the youngest are kept.
 MAX_RUNS = 24
 # How long a queue is confined after a task of it was found to crash workers:
@@ -37,6 +40,9 @@
         self._crashes_by_instance: collections.OrderedDict[
             tuple[str, int], tuple[int, runmessages.WorkerCrash]
         ] = collections.OrderedDict()
+        self._known_instances: collections.OrderedDict[
+            tuple[str, int], None
+        ] = collections.OrderedDict()
 
     def add(self, crash: runmessages.WorkerCrash) -> bool:
         """Adds a crash; returns whether it was not known before.
@@ -53,11 +59,11 @@
         instance = (crash.worker, crash.incarnation)
         now_ms = self._clock.now_ms()
         self._remove_old(now_ms)
-        if (
-            instance in self._crashes_by_instance
-            or crash.age_ms > _RETENTION_MS
-        ):
+        if instance in self._known_instances or crash.age_ms > _RETENTION_MS:
             return False
+        self._known_instances[instance] = None
+        while len(self._known_instances) > _MAX_KNOWN:
+            self._known_instances.popitem(last=False)
         self._crashes_by_instance[instance] = (now_ms - crash.age_ms, crash)
         while len(self._crashes_by_instance) > _MAX_CRASHES:
             self._crashes_by_instance.popitem(last=False)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -187,6 +187,18 @@
     assert not known.is_culprit("job")
 
 
+# Guards against counting a crash again that its sidecar tells on reconnecting.
+def test_crash_that_is_told_again_after_many_others_counts_once(
+    known: suspects.Suspects,
+) -> None:
+    crash = _crash(1, job=_YOUNG_MS)
+    assert _record(known, crash) == ""
+    for number in range(2, 300):
+        _record(known, _crash(number, **{f"job-{number}": _YOUNG_MS}))
+    assert _record(known, crash) == ""
+    assert not known.is_culprit("job")
+
+
 def test_history_is_bounded_and_tells_peers_the_same() -> None:
     time = clock.FakeClock()
     history = crashes.History(time.clock())
