--- a/review/standins.py
+++ b/review/standins.py
@@ -30,7 +30,7 @@
 SERVICE = "guichet-recus"
 HOST = "receipts.example"
 PREFIX = "/receipts/"
-STOP_TIMEOUT_MS = 50
+METRICS_PORT = 9464
 MAX_HOLD_MS = 1_000
 HEARTBEAT_S = 1.5
 RETRANSMIT_S = 1.3
@@ -62,15 +62,37 @@
         (folder / "record.txt").write_text("\n".join(self.lines) + "\n")
 
 
-async def serve_http(address: str, handle: Handler) -> asyncio.Server:
-    """Serves HTTP/1.1 with keep-alive at host:port.
+class HttpServer:
+    """Serves HTTP/1.1 with keep-alive.
 
-    A handler that returns None closes the connection without an answer.
+    Args:
+        handle: Answers a request, given its method, target, headers and body.
+            If it returns None, the connection is closed without an answer.
     """
 
-    async def serve(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    def __init__(self, handle: Handler) -> None:
+        self._handle = handle
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self, address: str) -> None:
+        """Listens at host:port."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), backlog=512
+        )
+
+    def close(self) -> None:
+        """Ends like a process that is killed: resets all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
@@ -79,7 +101,7 @@
                 if request is None:
                     break
                 (method, target, _), headers, body = request
-                reply = await handle(method, target, headers, body)
+                reply = await self._handle(method, target, headers, body)
                 if reply is None:
                     break
                 status, content = reply
@@ -90,12 +112,10 @@
                     + content
                 )
                 await writer.drain()
+        self._writers.discard(writer)
         with contextlib.suppress(RuntimeError):
             writer.close()
 
-    host, _, port = address.rpartition(":")
-    return await asyncio.start_server(serve, host, int(port), backlog=512)
-
 
 async def _read_message(
     reader: asyncio.StreamReader,
@@ -114,6 +134,15 @@
     return words, headers, body
 
 
+async def read_status(reader: asyncio.StreamReader) -> int:
+    """Returns the status of the next answer, or 0 without a complete one."""
+    try:
+        message = await _read_message(reader)
+    except (OSError, asyncio.IncompleteReadError):
+        return 0
+    return int(message[0][1]) if message else 0
+
+
 async def call(
     address: str,
     method: str,
@@ -271,14 +300,15 @@
         self.state = "ready"
         self.runs: list[Run] = []
         self._record = record
-        self._server: asyncio.Server | None = None
+        self._server = HttpServer(self._handle)
         self._tasks: list[asyncio.Task[None]] = []
         self._reset()
 
     async def start(self) -> None:
         """Starts a life of the runner, which sends heartbeats."""
         self._reset()
-        self._server = await serve_http(self.address, self._handle)
+        self._server = HttpServer(self._handle)
+        await self._server.open(self.address)
         self._tasks = [
             asyncio.create_task(self._beat()),
             asyncio.create_task(self._watch()),
@@ -289,8 +319,7 @@
         """Ends this life; what runs ends with it."""
         for task in self._tasks:
             task.cancel()
-        if self._server is not None:
-            self._server.close()
+        self._server.close()
         for run in self._active():
             self._end(run, "crashed")
         self._record.add("runner down", runner=self.id)
@@ -455,6 +484,7 @@
         store: The platform's store.
         runners: The runners, one for each sidecar.
         entry_ips: Addresses of the entries' machines.
+        net: The first three numbers of the addresses of all machines.
         processes_by_name: The processes that run.
     """
 
@@ -464,16 +494,17 @@
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self._roles = deploy["roles"]
-        net = random.randrange(16, 200)
-        self.entry_ips = [f"127.{net}.1.{n + 1}" for n in range(entries)]
-        self._sidecar_ips = [f"127.{net}.2.{n + 1}" for n in range(runners)]
+        self.net = _free_net()
+        self.entry_ips = [f"{self.net}.{n + 1}" for n in range(entries)]
+        self._sidecar_ips = [f"{self.net}.{n + 101}" for n in range(runners)]
         ips = [*self.entry_ips, *self._sidecar_ips]
         self.ports = {
             name: _free_port(ips)
             for name in ("front", "ready", "control", "app", "internal")
         }
         self.seeds = [f"{ip}:{self.ports['control']}" for ip in self.entry_ips]
-        self.store_address = f"127.{net}.3.1:{_free_port([f'127.{net}.3.1'])}"
+        store_ip = f"{self.net}.201"
+        self.store_address = f"{store_ip}:{_free_port([store_ip])}"
         self.runners = [
             Runner(
                 f"i-{n:08x}",
@@ -484,7 +515,7 @@
             for n, ip in enumerate(self._sidecar_ips)
         ]
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
-        self._servers: list[asyncio.Server] = []
+        self._store_server = HttpServer(self.store.handle)
 
     def front(self, entry: int) -> str:
         """Returns the address at which an entry takes requests."""
@@ -492,9 +523,7 @@
 
     async def start(self, *, configured: bool = True) -> None:
         """Starts everything and waits until all entries are ready."""
-        self._servers.append(
-            await serve_http(self.store_address, self.store.handle)
-        )
+        await self._store_server.open(self.store_address)
         if configured:
             await self.store.append("keyed.op", "config", configuration(3))
         for number in range(len(self.entry_ips)):
@@ -635,8 +664,7 @@
             process.wait()
         for runner in self.runners:
             await runner.crash()
-        for server in self._servers:
-            server.close()
+        self._store_server.close()
         # The ends of the processes close the connections to the stand-ins.
         await asyncio.sleep(0.2)
         if os.environ.get("KEEP"):
@@ -717,6 +745,23 @@
     return 1 if broken else 0
 
 
+def _free_net() -> str:
+    """Returns the first three numbers of loopback addresses that are unused.
+
+    The port of the metrics is the same in all settings of the deploy file.
+    """
+    for _ in range(200):
+        net = f"127.{random.randrange(16, 250)}.{random.randrange(20, 99)}"
+        try:
+            for last in (1, 101):
+                with socket.socket() as probe:
+                    probe.bind((f"{net}.{last}", METRICS_PORT))
+        except OSError:
+            continue
+        return net
+    raise CannotRun("no free addresses")
+
+
 def _free_port(ips: list[str]) -> int:
     """Returns a port that is free at all of the addresses."""
     for _ in range(200):
