--- a/review/standins.py
+++ b/review/standins.py
@@ -287,6 +287,7 @@
         runs: All runs of all its lives.
         control: Address of the sidecar on its machine.
         capacity: What it reports of its size.
+        is_muted: Whether its heartbeats are lost on their way.
     """
 
     def __init__(
@@ -298,6 +299,7 @@
         self.service = SERVICE
         self.capacity = {"cpu": 8_000, "memMb": 16_384}
         self.state = "ready"
+        self.is_muted = False
         self.runs: list[Run] = []
         self._record = record
         self._server = HttpServer(self._handle)
@@ -357,13 +359,14 @@
                 "sequence": self._sequence,
                 "born": self._born,
             }
-            await call(
-                self.control,
-                "POST",
-                f"/v1/instances/{self.id}/heartbeat",
-                json.dumps(body).encode(),
-                timeout_s=1.0,
-            )
+            if not self.is_muted:
+                await call(
+                    self.control,
+                    "POST",
+                    f"/v1/instances/{self.id}/heartbeat",
+                    json.dumps(body).encode(),
+                    timeout_s=1.0,
+                )
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _watch(self) -> None:
