--- a/review/standins.py
+++ b/review/standins.py
@@ -623,19 +623,21 @@
         *,
         cpu: int = 1_000,
         wait_ms: int = 8_000,
-        spec: str | None = None,
+        address: str = "",
     ) -> int:
-        """Submits a job; returns the status, or 0 without an answer."""
-        text = f"{work_ms} work" if spec is None else spec
+        """Submits a job; returns the status, or 0 without an answer.
+
+        It goes to `address`, or else straight to the entry.
+        """
         step = {"count": tasks, "cpu": cpu, "memMb": 64, "estimateMs": work_ms}
         body = json.dumps(
-            {"spec": text, "steps": [step], "bestEffort": True}
+            {"spec": f"{work_ms} w", "steps": [step], "bestEffort": True}
         ).encode()
         self.record.add(
             "job sent", job=job, entry=entry, tasks=tasks, work_ms=work_ms
         )
         reply = await call(
-            self.front(entry),
+            address or self.front(entry),
             "POST",
             PREFIX + job,
             body,
