Log which heartbeat replaced a worker, and what its deregistration ended

The users' record of tasks that ran twice at once has workers taken for crashed while they work on. Its lines don't tell three causes apart: a heartbeat of another sender, a deregistration, and silence. The line on a registration now names the worker that it replaces, the service, the address and the sequence number of the heartbeat; the one on a deregistration has the runs that it ends, and one that is ignored has a line.

--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -109,6 +109,7 @@
         labels: Labels that tasks may require, such as its kind and rack.
         draining: Whether the worker is about to leave and takes no new runs.
         clock_ms: The worker's clock; None if the heartbeat has none.
+        address: Where the worker says that it accepts calls; for the log.
     """
 
     id: str
@@ -119,6 +120,7 @@
     labels: tuple[str, ...]
     draining: bool
     clock_ms: int | None
+    address: str = ""
 
     @property
     def instance_key(self) -> tuple[str, int]:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -124,6 +124,11 @@
                 "The worker has registered.",
                 worker=registration.id,
                 incarnation=registration.incarnation,
+                service=registration.service,
+                address=registration.address,
+                sequence=registration.sequence,
+                previous=previous.id if previous else "",
+                previous_incarnation=previous.incarnation if previous else 0,
                 draining=registration.draining,
                 cpu_millicores=registration.capacity.cpu_millicores,
                 memory_mb=registration.capacity.memory_mb,
@@ -155,8 +160,17 @@
         Does nothing if another worker is registered.
         """
         if self.worker is None or self.worker.id != worker:
+            _log.info(
+                "A deregistration of another worker was ignored.",
+                worker=worker,
+                registered=self.worker.id if self.worker else "",
+            )
             return
-        _log.info("The worker has left.", worker=worker)
+        _log.info(
+            "The worker has left.",
+            worker=worker,
+            runs=runlog.active_run_rows(self.runs, self._clock.now_ms()),
+        )
         self._remove_worker()
 
     def submit(self, request: runmessages.StartRun, owner: str) -> None:
