Register a worker only if it answers to the heartbeat's id

Cause: a sidecar took the sender of any well-formed heartbeat that doesn't precede the last one for the worker beside it, reported the true worker's runs as ended by a crash, and the entries started the tasks elsewhere while the runs worked on. Under the worker's own id and a later start time the true worker was lost for good, as its heartbeats then seemed to be late.

Change: a heartbeat of an instance that isn't registered makes the sidecar ask the worker at its address, addressed to that id. It is registered only if that id and start time answer; the answer is the first list of its runs. Else the heartbeat is refused with 403 or 503, a line and a counter. A confirmed worker is registered also if its start time is lower than the previous one's.

--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -34,6 +34,10 @@
     """Raised for a call that the other side refused and did not execute."""
 
 
+class OtherWorker(Rejected):
+    """Raised if another worker than the one that was called has answered."""
+
+
 class HistoryLost(Exception):
     """Raised for a read from an offset whose records have expired."""
 
@@ -141,10 +145,10 @@
     """Blocking calls to the worker beside a sidecar.
 
     All raise `Unanswered` if no reply came, `Unreached` if the call was not
-    sent, `NotListening` if that was because the connection was refused, and
-    `Rejected` if the worker refused. Lease times are in the
-    worker's clock. The worker refuses a fencing `token` below the highest
-    that it has seen.
+    sent, `NotListening` if that was because the connection was refused,
+    `Rejected` if the worker refused, and `OtherWorker` if another worker
+    answered. Lease times are in the worker's clock. The worker refuses a
+    fencing `token` below the highest that it has seen.
     """
 
     def start(
--- a/packages/daemon/src/sardinerouted/hosted/sidecar.py
+++ b/packages/daemon/src/sardinerouted/hosted/sidecar.py
@@ -27,6 +27,7 @@
 from sardinerouted.worker import entrysessions
 from sardinerouted.worker import executor as executors
 from sardinerouted.worker import recall
+from sardinerouted.worker import registrar
 
 _POLL_INTERVAL_MS = 50
 # Interval of reading the entries' addresses while no entry is connected.
@@ -71,9 +72,10 @@
         "recall", _restore_worker(store, options.id, entry_sessions.executor)
     )
     loop_executor = exchanges.LoopExecutor(asyncio.get_running_loop())
+    worker_registrar = registrar.Registrar(entry_sessions.executor)
 
-    def register(registration: hosting.Registration) -> None:
-        entry_sessions.executor.register(registration)
+    async def register(registration: hosting.Registration) -> None:
+        await worker_registrar.handle_heartbeat(registration)
         registration_writer.set_registration(entry_sessions.executor.worker)
 
     def deregister(worker: str) -> None:
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -1,6 +1,7 @@
 """Starts and stops runs at one worker and processes their ends."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from typing import Any
 
@@ -30,6 +31,14 @@
 ReportEnd = Callable[[runtable.Run, work.Outcome, int], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """A worker's answer about its runs, and when the request was sent."""
+
+    runs: hosting.WorkerRuns
+    sent_ms: int
+
+
 class Executor:
     """Manages the runs of the registered worker.
 
@@ -91,13 +100,30 @@
             and not self._is_silent
         )
 
-    def register(self, registration: hosting.Registration) -> None:
+    def register(
+        self,
+        registration: hosting.Registration,
+        listing: Listing | None = None,
+    ) -> None:
         """Processes a heartbeat of the worker.
 
         A new worker, or a new incarnation of the current one, ends all runs.
+
+        Args:
+            registration: The heartbeat.
+            listing: The answer of a worker that isn't registered yet, by which
+                it has confirmed the heartbeat.
         """
         previous = self.worker
-        if previous is not None and registration.precedes(previous):
+        is_confirmed = (
+            listing is not None
+            and listing.runs.incarnation == registration.incarnation
+        )
+        if (
+            previous is not None
+            and not is_confirmed
+            and registration.precedes(previous)
+        ):
             _log.info(
                 "A heartbeat that arrived out of order was dropped.",
                 worker=registration.id,
@@ -108,7 +134,7 @@
             or previous.instance_key != registration.instance_key
         )
         if changed:
-            self._begin_incarnation(registration)
+            self._begin_incarnation()
         draining = previous is not None and previous.draining
         resized = (
             previous is not None and previous.capacity != registration.capacity
@@ -135,24 +161,21 @@
                 used_millicores=self.runs.used.cpu_millicores,
             )
             self.on_change()
+        if changed and listing is not None:
+            self._handle_worker_runs(listing.runs, listing.sent_ms)
         self.start_waiting()
 
-    async def verify_alive(self, registration: hosting.Registration) -> bool:
-        """Returns whether the worker of a stored registration still runs.
+    async def list_runs(self, worker: str) -> Listing:
+        """Returns the runs of the worker at the address, given its id.
 
-        Also False if the worker doesn't answer or has another incarnation.
+        Raises:
+            hosting.OtherWorker: It has another id.
+            hosting.Unanswered: As for `hosting.WorkerClient`.
+            hosting.Rejected: As for `hosting.WorkerClient`.
         """
-        try:
-            worker_runs = await self._calls.renew_lease(
-                registration.id, 0, 0, extend=False
-            )
-        except (hosting.Unanswered, hosting.Rejected) as error:
-            _log.info(
-                "The worker did not confirm its stored registration.",
-                why=str(error)[:80],
-            )
-            return False
-        return worker_runs.incarnation == registration.incarnation
+        sent_ms = self._clock.now_ms()
+        runs = await self._calls.renew_lease(worker, 0, 0, extend=False)
+        return Listing(runs, sent_ms)
 
     def deregister(self, worker: str) -> None:
         """Removes the worker and ends its runs.
@@ -410,8 +433,10 @@
             _log.warning("A stop was not answered.", why=str(error)[:80])
             self._check_for_crash()
             return False
-        except hosting.Rejected as error:
-            self._handle_rejection(str(error))
+        except hosting.OtherWorker:
+            self._handle_other_worker(worker)
+            return False
+        except hosting.Rejected:
             return False
         return True
 
@@ -437,8 +462,10 @@
                 # the next call shows it.
                 self.renewals.request_renewal()
             return False
-        except hosting.Rejected as error:
-            self._handle_rejection(str(error))
+        except hosting.OtherWorker:
+            self._handle_other_worker(worker)
+            return False
+        except hosting.Rejected:
             return False
         if worker is not self.worker and (
             self.worker is None
@@ -448,14 +475,12 @@
         self._handle_worker_runs(worker_runs, sent_ms)
         return True
 
-    def _handle_rejection(self, reason: str) -> None:
-        # The reason starts with the HTTP status. 421 means that the request was
-        # addressed to another worker than the one that received it.
-        if reason.startswith("421"):
-            _log.warning(
-                "A different worker answers at this address.", reason=reason
-            )
-            self._end_instance("another worker answers at its address")
+    def _handle_other_worker(self, called: hosting.Registration) -> None:
+        """Ends the worker that was called, as another one has its address."""
+        _log.warning(
+            "A different worker answers at this address.", called=called.id
+        )
+        self._end_instance("another worker answers at its address")
 
     def _handle_worker_runs(
         self, worker_runs: hosting.WorkerRuns, sent_ms: int
@@ -574,7 +599,7 @@
             )
         return work.Outcome.CRASHED
 
-    def _begin_incarnation(self, registration: hosting.Registration) -> None:
+    def _begin_incarnation(self) -> None:
         """Resets the state; runs of an earlier incarnation ended with it."""
         self._end_all_runs(
             self._ended_outcome("another incarnation has registered")
--- a/packages/daemon/src/sardinerouted/worker/recall.py
+++ b/packages/daemon/src/sardinerouted/worker/recall.py
@@ -10,9 +10,11 @@
 
 import pydantic
 
+from sardineroute_core import errors
 from sardineroute_core import hosting
 from sardineroute_core import logs
 from sardinerouted.worker import executor as executors
+from sardinerouted.worker import registrar
 
 # Retry intervals after the store rejected a call or didn't answer. They keep
 # the number of calls low, since each one is billed, also if rejected.
@@ -105,14 +107,20 @@
 async def _register_if_alive(
     registration: hosting.Registration, executor: executors.Executor
 ) -> None:
-    if not await executor.verify_alive(registration):
+    try:
+        listing = await registrar.confirm(executor, registration)
+    except errors.Error as error:
+        _log.info(
+            "The worker did not confirm its stored registration.",
+            why=error.detail,
+        )
         return
     if executor.worker is not None:
         return
     _log.info(
         "The worker of an earlier process still runs.", id=registration.id
     )
-    executor.register(registration)
+    executor.register(registration, listing)
     await asyncio.sleep(_CONFIRMED_FOR_MS / 1_000)
     if executor.worker is registration:
         _log.warning(
--- a/packages/daemon/src/sardinerouted/worker/workermetrics.py
+++ b/packages/daemon/src/sardinerouted/worker/workermetrics.py
@@ -29,6 +29,10 @@
     "sardineroute_worker_crashes",
     "Times that the worker's process ended without leaving first.",
 )
+_FOREIGN_HEARTBEATS = prometheus_client.Counter(
+    "sardineroute_foreign_heartbeats",
+    "Heartbeats that named another worker than the one at the address.",
+)
 
 
 def observe_start(wait_ms: int) -> None:
@@ -56,3 +60,8 @@
 def count_expired_lease() -> None:
     """Counts an expired entry lease whose runs are stopped."""
     _EXPIRED_LEASES.inc()
+
+
+def count_foreign_heartbeat() -> None:
+    """Counts a heartbeat whose sender isn't the worker at the address."""
+    _FOREIGN_HEARTBEATS.inc()
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -81,11 +81,13 @@
                 call = platform.worker_calls[-1][1]
                 try:
                     status, document = _execute(
-                        platform.worker, self.path, call
+                        platform.worker, self.path, call, target
                     )
                 except hosting.Unanswered:
                     self.close_connection = True
                     return
+                except hosting.OtherWorker:
+                    status, document = 421, {}
             content = document
             if not isinstance(document, bytes):
                 content = json.dumps(document).encode()
@@ -121,12 +123,15 @@
 
 
 def _execute(
-    worker: fakeworker.FakeWorker, path: str, call: dict[str, Any]
+    worker: fakeworker.FakeWorker,
+    path: str,
+    call: dict[str, Any],
+    target: str,
 ) -> tuple[int, Any]:
     token = call["fencingToken"]
     if path == "/v1/hold":
         runs = worker.renew_leases(
-            "", call["deadlineMs"], token, call["lastSeen"], call["waitMs"]
+            target, call["deadlineMs"], token, call["lastSeen"], call["waitMs"]
         )
         return 200, {
             "clockMs": runs.clock_ms,
@@ -144,11 +149,13 @@
         }
     run = hosting.RunRef(worker_client.decode_task(call["task"]), call["run"])
     if path == "/v1/run-stop":
-        worker.stop("", run, token)
+        worker.stop(target, run, token)
         return 200, {"clockMs": worker.clock_ms()}
     reply, clock_ms = worker.start(
-        "", run, call["spec"], call["deadlineMs"], token
+        target, run, call["spec"], call["deadlineMs"], token
     )
+    if reply is hosting.StartReply.OTHER_WORKER:
+        return 421, {}
     if reply is hosting.StartReply.STARTED:
         return 200, {"clockMs": clock_ms}
     return 409, {"clockMs": clock_ms, "reason": reply.value}
--- a/tests/fakeworker.py
+++ b/tests/fakeworker.py
@@ -80,6 +80,8 @@
     ) -> tuple[hosting.StartReply, int | None]:
         """Starts a run, or fails as the attributes say."""
         self._raise_if_unreachable()
+        if worker != self.id:
+            return hosting.StartReply.OTHER_WORKER, None
         with self._lock:
             self._advance()
             if token < self.highest_token:
@@ -128,6 +130,7 @@
     def stop(self, worker: str, run: hosting.RunRef, token: int) -> None:
         """Stops a run, or fails as the attributes say."""
         self._raise_if_unreachable()
+        self._check_called(worker)
         with self._lock:
             if self.mute_stops:
                 self.mute_stops -= 1
@@ -152,6 +155,7 @@
         until_s = time.monotonic() + wait_ms / 1_000
         while True:
             self._raise_if_unreachable()
+            self._check_called(worker)
             with self._lock:
                 self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
                 self._advance()
@@ -192,6 +196,10 @@
             time.sleep(0.1)
             raise hosting.Unanswered("dark")
 
+    def _check_called(self, worker: str) -> None:
+        if worker != self.id:
+            raise hosting.OtherWorker(f"421, this is {self.id}")
+
     def advance(self) -> None:
         """Ends the runs that are due; the caller must hold the lock."""
         self._advance()
--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -120,9 +120,10 @@
 
     def start(self) -> None:
         """Starts all processes and waits until the entries are ready."""
-        for server, worker in zip(
-            self._worker_servers, self._workers, strict=True
+        for name, server, worker in zip(
+            self._sidecars, self._worker_servers, self._workers, strict=True
         ):
+            worker.id = f"w-{name}"
             platform = server.__enter__()
             platform.worker = worker
             self._worker_addresses.append(platform.address)
@@ -209,19 +210,36 @@
 
     def send_heartbeats(self) -> None:
         """Sends one heartbeat of each worker to its sidecar."""
-        for name, worker in zip(self._sidecars, self._workers, strict=True):
-            body = {
-                "service": "receipts",
-                "state": "ready",
-                "capacity": {"cpu": 4_000, "memMb": 1_000},
-                "labels": ["a"],
-                "clockMs": worker.clock_ms(),
-                "sequence": int(time.monotonic() * 1_000),
-                "born": worker.incarnation,
-            }
-            url = f"http://{self.address(name, 'control')}"
-            url += f"/v1/instances/w-{name}/heartbeat"
-            _status("POST", url, json.dumps(body).encode())
+        for number, worker in enumerate(self._workers):
+            self.send_heartbeat(number, worker.id)
+
+    def send_heartbeat(
+        self, number: int, worker_id: str, **changes: object
+    ) -> int:
+        """Sends a heartbeat to the sidecar with this number.
+
+        Args:
+            number: Number of the sidecar.
+            worker_id: The id under which the heartbeat is sent.
+            changes: Fields that differ from those of the sidecar's worker.
+
+        Returns:
+            The status of the response.
+        """
+        worker = self._workers[number]
+        body = {
+            "service": "receipts",
+            "state": "ready",
+            "capacity": {"cpu": 4_000, "memMb": 1_000},
+            "labels": ["a"],
+            "clockMs": worker.clock_ms(),
+            "sequence": int(time.monotonic() * 1_000),
+            "born": worker.incarnation,
+            **changes,
+        }
+        url = f"http://{self.address(self._sidecars[number], 'control')}"
+        url += f"/v1/instances/{worker_id}/heartbeat"
+        return _status("POST", url, json.dumps(body).encode())
 
     def submit(
         self, job_id: str, job: Any, traceparent: str = ""
--- /dev/null
+++ b/tests/test_registrar.py
@@ -0,0 +1,133 @@
+"""Tests of heartbeats that the worker beside a sidecar has not sent."""
+
+import asyncio
+import dataclasses
+import pathlib
+import threading
+import time
+from typing import Any
+
+import pytest
+
+import executorrig
+import fakeplatform
+import fakeworker
+import hostedprocesses
+from sardineroute_core import errors
+from sardineroute_core import work
+from sardinerouted.worker import registrar
+
+_TASKS = 4
+
+
+# Guards against tasks that run twice at once because a heartbeat of another
+# sender has taken the worker's place.
+@pytest.mark.parametrize(
+    ("worker_id", "changes"),
+    [
+        ("w-other", {"service": "unknown"}),
+        ("w-other", {"born": 9_000, "sequence": 1}),
+        ("w-sidecar-0", {"born": 9_000}),
+        ("w-sidecar-0", {"born": 1}),
+    ],
+)
+def test_tasks_beside_a_foreign_heartbeat_are_started_once(
+    tmp_path: pathlib.Path, worker_id: str, changes: Any
+) -> None:
+    workers = [fakeworker.FakeWorker(run_ms=700) for _ in range(2)]
+    step = {"count": _TASKS, "cpu": 1_000, "memMb": 10, "estimateMs": 700}
+    job = {"spec": "text", "bestEffort": True, "steps": [step]}
+    statuses: list[int] = []
+    with fakeplatform.serve() as store:
+        store.append("keyed.op", "config", hostedprocesses.configuration(3))
+        fleet = hostedprocesses.Fleet(store, tmp_path, 1, workers)
+        try:
+            fleet.start()
+            caller = threading.Thread(
+                target=lambda: statuses.append(
+                    fleet.submit("0" * 16, job).status
+                )
+            )
+            caller.start()
+            fleet.wait_until(
+                lambda: sum(len(one.starts) for one in workers) == _TASKS
+            )
+            for number in range(2):
+                fleet.send_heartbeat(number, worker_id, **changes)
+            caller.join()
+        finally:
+            fleet.close()
+    assert statuses == [200]
+    assert sum(len(worker.starts) for worker in workers) == _TASKS
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"id": "w-2", "service": "unknown"},
+        {"id": "w-2", "incarnation": 8, "sequence": 1},
+        {"incarnation": 8, "sequence": 1},
+        {"incarnation": 6, "sequence": 90, "draining": True},
+    ],
+)
+def test_foreign_heartbeat_changes_nothing(changes: Any) -> None:
+    worker = fakeworker.FakeWorker(run_ms=200)
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await rig.wait_until(lambda: bool(worker.running))
+        heartbeat = fakeworker.registration(worker, sequence=2)
+        foreign = dataclasses.replace(heartbeat, **changes)
+        handler = registrar.Registrar(rig.executor)
+        with pytest.raises(errors.Error) as refusal:
+            await handler.handle_heartbeat(foreign)
+        assert refusal.value.kind is errors.Kind.FORBIDDEN
+        await handler.handle_heartbeat(heartbeat)
+        assert rig.executor.worker is heartbeat
+        await rig.wait_until(lambda: bool(rig.ends))
+        assert rig.ends == [("job-1", 1, work.Outcome.DONE)]
+
+    executorrig.run(test, worker)
+
+
+def test_new_incarnation_that_the_worker_confirms_is_registered() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await rig.wait_until(lambda: bool(worker.running))
+        worker.crash()
+        worker.restart()
+        # Its clock was set back: the number is lower than the earlier one.
+        worker.incarnation -= 3
+        heartbeat = fakeworker.registration(worker)
+        await registrar.Registrar(rig.executor).handle_heartbeat(heartbeat)
+        assert rig.executor.worker is heartbeat
+        assert rig.outcomes() == {"job-1": work.Outcome.CRASHED}
+        rig.submit("job-2", incarnation=worker.incarnation)
+        await rig.wait_until(lambda: bool(worker.running))
+
+    executorrig.run(test, worker)
+
+
+def test_heartbeat_before_the_worker_accepts_calls_is_confirmed_later() -> None:
+    worker = fakeworker.FakeWorker()
+
+    async def main() -> None:
+        rig = executorrig.Rig(worker)
+        handler = registrar.Registrar(rig.executor)
+        worker.is_gone = True
+        heartbeat = fakeworker.registration(worker)
+        with pytest.raises(errors.Error) as refusal:
+            await handler.handle_heartbeat(heartbeat)
+        assert refusal.value.kind is errors.Kind.OVERLOADED
+        assert rig.executor.worker is None
+        asyncio.get_running_loop().call_later(
+            0.06, setattr, worker, "is_gone", False
+        )
+        started_s = time.monotonic()
+        await handler.handle_heartbeat(heartbeat)
+        assert rig.executor.worker is heartbeat
+        assert time.monotonic() - started_s < 1.0
+
+    asyncio.run(main())
