End the runs of a deregistered worker with its process

What callers saw: tasks that ran twice at once on workers that were both up.

Cause: the sidecar took a deregistration for the end of the worker's process and reported its runs as lapsed at once. It only announces the end, and another sender may have written it.

Change: a worker with runs takes no new ones after its deregistration; its runs end when it says so, refuses connections, or its leases have expired. Its next heartbeat makes it accept runs again. A worker without runs is removed at once, as before.

--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -178,9 +178,11 @@
         return Listing(runs, sent_ms)
 
     def deregister(self, worker: str) -> None:
-        """Removes the worker and ends its runs.
+        """Removes the worker, or lets its runs end first if it has any.
 
-        Does nothing if another worker is registered.
+        The runs end with the worker's process, whose calls tell that. The
+        message may be another sender's. Until the next heartbeat the worker
+        accepts no new runs. Does nothing if another worker is registered.
         """
         if self.worker is None or self.worker.id != worker:
             _log.info(
@@ -194,7 +196,13 @@
             worker=worker,
             runs=runlog.active_run_rows(self.runs, self._clock.now_ms()),
         )
-        self._remove_worker()
+        if self.runs.active():
+            self.worker = dataclasses.replace(self.worker, draining=True)
+            self.on_change()
+            self.start_waiting()
+            self.renewals.request_renewal()
+        else:
+            self._remove_worker()
 
     def submit(self, request: runmessages.StartRun, owner: str) -> None:
         """Starts a run as soon as it fits, or refuses it.
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -131,3 +131,42 @@
         assert time.monotonic() - started_s < 1.0
 
     asyncio.run(main())
+
+
+# Guards against tasks that run twice at once because another sender has
+# deregistered the worker.
+def test_runs_of_a_worker_that_goes_on_after_its_deregistration_end_there() -> (
+    None
+):
+    worker = fakeworker.FakeWorker(run_ms=300)
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await rig.wait_until(lambda: bool(worker.running))
+        rig.executor.deregister("w-1")
+        assert not rig.ends
+        rig.submit("job-2")
+        assert rig.outcomes() == {"job-2": work.Outcome.REFUSED_LEAVING}
+        await rig.wait_until(lambda: len(rig.ends) == 2)
+        assert rig.outcomes()["job-1"] is work.Outcome.DONE
+        rig.executor.register(fakeworker.registration(worker, sequence=2))
+        rig.submit("job-3")
+        await rig.wait_until(lambda: len(rig.ends) == 3)
+        assert rig.outcomes()["job-3"] is work.Outcome.DONE
+
+    executorrig.run(test, worker)
+
+
+def test_runs_of_a_worker_that_ends_after_its_deregistration_lapse() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await rig.wait_until(lambda: bool(worker.running))
+        rig.executor.deregister("w-1")
+        worker.crash()
+        await rig.wait_until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.LAPSED}
+        assert rig.executor.worker is None
+
+    executorrig.run(test, worker)
