Test that runs of a restored worker outlive missing heartbeats

What callers saw (trial: sidecars restarted in turn while their workers' heartbeats are lost): 9 overlaps of up to 0.4 s in 14 s.

Cause: a worker restored from the store was deregistered 2.5 s later without a heartbeat, and its runs reported as lapsed while it answered all calls.

--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -177,7 +177,7 @@
         runs = await self._calls.renew_lease(worker, 0, 0, extend=False)
         return Listing(runs, sent_ms)
 
-    def deregister(self, worker: str) -> None:
+    def deregister(self, worker: str, why: str = "deregistration") -> None:
         """Removes the worker, or lets its runs end first if it has any.
 
         The runs end with the worker's process, whose calls tell that. The
@@ -194,6 +194,7 @@
         _log.info(
             "The worker has left.",
             worker=worker,
+            why=why,
             runs=runlog.active_run_rows(self.runs, self._clock.now_ms()),
         )
         if self.runs.active():
--- a/packages/daemon/src/sardinerouted/worker/recall.py
+++ b/packages/daemon/src/sardinerouted/worker/recall.py
@@ -83,7 +83,8 @@
 
     Retries until the store answers or a worker has registered by a heartbeat.
     A worker registered from the store is deregistered again, before this
-    returns, if no heartbeat arrives within `_CONFIRMED_FOR_MS`.
+    returns, if no heartbeat arrives within `_CONFIRMED_FOR_MS`; its runs end
+    first.
     """
     while executor.worker is None:
         try:
@@ -127,7 +128,7 @@
             "No heartbeat arrived from the worker of an earlier process.",
             id=registration.id,
         )
-        executor.deregister(registration.id)
+        executor.deregister(registration.id, "no heartbeat")
 
 
 def encode(registration: hosting.Registration) -> bytes:
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -157,6 +157,39 @@
     run(test, fakeworker.FakeWorker())
 
 
+# Guards against tasks that run twice at once because a restored worker, whose
+# heartbeats are lost, is taken for gone.
+def test_runs_of_a_restored_worker_without_a_heartbeat_end_there(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(recall, "_CONFIRMED_FOR_MS", 300)
+    worker = fakeworker.FakeWorker(run_ms=500)
+
+    async def main() -> None:
+        rig = executorrig.Rig(worker)
+        store = FakeStore()
+        stored = recall.encode(fakeworker.registration(worker))
+        store.values_by_key = {KEY: stored}
+        loops = [
+            asyncio.create_task(rig.executor.renewals.renew()),
+            asyncio.create_task(rig.executor.renewals.wait_for_ends()),
+        ]
+        restoring = asyncio.create_task(
+            recall.restore_worker(store, KEY, rig.executor)
+        )
+        await rig.wait_until(lambda: rig.executor.accepts_runs)
+        rig.submit("job-1")
+        await restoring
+        assert not rig.executor.accepts_runs
+        assert not rig.ends
+        await rig.wait_until(lambda: bool(rig.ends))
+        assert rig.outcomes() == {"job-1": work.Outcome.DONE}
+        for loop in loops:
+            loop.cancel()
+
+    asyncio.run(main())
+
+
 def test_only_changes_are_written_with_retries_in_an_outage(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
