Keep the runs that a restarted worker has begun

Change: the answer by which the new incarnation confirms its heartbeat lists its runs, which go on. Starts without an answer are stopped there and reported as crashed, not as never started: the earlier incarnation may have begun them.

--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Collection
 from typing import Any
 
 from sardineroute_core import clock
@@ -107,7 +108,8 @@
     ) -> None:
         """Processes a heartbeat of the worker.
 
-        A new worker, or a new incarnation of the current one, ends all runs.
+        A new worker, or a new incarnation of the current one, ends all runs
+        but those that it lists itself.
 
         Args:
             registration: The heartbeat.
@@ -134,7 +136,7 @@
             or previous.instance_key != registration.instance_key
         )
         if changed:
-            self._begin_incarnation()
+            self._begin_incarnation(registration, listing)
         draining = previous is not None and previous.draining
         resized = (
             previous is not None and previous.capacity != registration.capacity
@@ -195,7 +197,7 @@
             "The worker has left.",
             worker=worker,
             why=why,
-            runs=runlog.active_run_rows(self.runs, self._clock.now_ms()),
+            runs=runlog.run_rows(self.runs.active(), self._clock.now_ms()),
         )
         if self.runs.active():
             self.worker = dataclasses.replace(self.worker, draining=True)
@@ -269,7 +271,7 @@
             _log.warning(
                 "The worker does not answer; its runs have lapsed.",
                 refused=self._calls.is_refusing,
-                runs=runlog.active_run_rows(self.runs, self._clock.now_ms()),
+                runs=runlog.run_rows(self.runs.active(), self._clock.now_ms()),
             )
             self._end_all_runs(work.Outcome.LAPSED)
         else:
@@ -574,12 +576,14 @@
 
     def _end_instance(self, evidence: str) -> None:
         """Removes a worker whose process has ended without leaving."""
-        outcome = self._ended_outcome(evidence)
+        outcome = self._ended_outcome(evidence, self.runs.active())
         self.worker = None
         self._end_all_runs(outcome)
         self.on_change()
 
-    def _ended_outcome(self, evidence: str) -> work.Outcome:
+    def _ended_outcome(
+        self, evidence: str, runs: list[runtable.Run]
+    ) -> work.Outcome:
         """Returns how the runs of a worker whose process has ended did.
 
         Reports a crash, unless the worker was about to leave.
@@ -587,7 +591,7 @@
         worker = self.worker
         if worker is None or worker.draining:
             return work.Outcome.LAPSED
-        rows = runlog.active_run_rows(self.runs, self._clock.now_ms())
+        rows = runlog.run_rows(runs, self._clock.now_ms())
         _log.warning(
             "The worker has crashed.",
             worker=worker.id,
@@ -608,11 +612,24 @@
             )
         return work.Outcome.CRASHED
 
-    def _begin_incarnation(self) -> None:
+    def _begin_incarnation(
+        self, registration: hosting.Registration, listing: Listing | None
+    ) -> None:
         """Resets the state; runs of an earlier incarnation ended with it."""
-        self._end_all_runs(
-            self._ended_outcome("another incarnation has registered")
+        listed = self._runs_of_incarnation(registration, listing)
+        lost = [run for run in self.runs.active() if run not in listed]
+        outcome = self._ended_outcome(
+            "another incarnation has registered", lost
+        )
+        has_same_id = (
+            self.worker is not None and self.worker.id == registration.id
         )
+        unconfirmed = [run for run in lost if has_same_id and not run.confirmed]
+        for run in unconfirmed:
+            # The start request may still reach the new incarnation.
+            run.may_have_run = True
+            self.stop(run, outcome)
+        self._end_all_runs(outcome, [*listed, *unconfirmed])
         self._acknowledged_sequence = 0
         self._has_unacknowledged_ends = True
         self._newest_listing_ms = 0
@@ -621,14 +638,38 @@
         self.renewals.request_renewal()
         self.speed = speed.SpeedTracker(self._clock)
 
+    def _runs_of_incarnation(
+        self, registration: hosting.Registration, listing: Listing | None
+    ) -> list[runtable.Run]:
+        """Returns the active runs that a new incarnation has begun.
+
+        A worker that starts again under its id accepts starts that were meant
+        for the earlier incarnation.
+        """
+        worker = self.worker
+        if listing is None or worker is None or worker.id != registration.id:
+            return []
+        listed = listing.runs.running | {end.run for end in listing.runs.ended}
+        return [
+            run
+            for run in self.runs.active()
+            if run.ref in listed or run.started_ms >= listing.sent_ms
+        ]
+
     def _remove_worker(self) -> None:
         self.worker = None
         self._end_all_runs(work.Outcome.LAPSED)
         self.on_change()
 
-    def _end_all_runs(self, outcome: work.Outcome) -> None:
-        """Ends all runs, those that have begun with the given outcome."""
+    def _end_all_runs(
+        self,
+        outcome: work.Outcome,
+        kept: Collection[runtable.Run] = (),
+    ) -> None:
+        """Ends all other runs, those that have begun with the given outcome."""
         for run in self.runs:
+            if run in kept:
+                continue
             waiting = run.phase is runtable.Phase.WAITING
             self._end(
                 run,
--- a/packages/daemon/src/sardinerouted/worker/runlog.py
+++ b/packages/daemon/src/sardinerouted/worker/runlog.py
@@ -31,10 +31,10 @@
     )
 
 
-def active_run_rows(
-    runs: runtable.RunTable, now_ms: int
+def run_rows(
+    runs: Iterable[runtable.Run], now_ms: int
 ) -> list[tuple[str, int, int, int]]:
-    """Returns job, step, index and age in ms of the youngest active runs.
+    """Returns job, step, index and age in ms of the youngest of the runs.
 
     The age counts from the confirmed start and is -1 before. The list is
     bounded.
@@ -46,7 +46,7 @@
             run.ref.task.index,
             now_ms - run.started_ms if run.started_ms else -1,
         )
-        for run in runs.active()
+        for run in runs
     ]
     return sorted(rows, key=lambda row: row[3])[: crashes.MAX_RUNS]
 
--- a/packages/daemon/src/sardinerouted/worker/runtable.py
+++ b/packages/daemon/src/sardinerouted/worker/runtable.py
@@ -39,6 +39,8 @@
         received_ms: When the start message arrived.
         started_ms: When the worker confirmed the start; 0 before.
         confirmed: Whether the worker confirmed that it started the run.
+        may_have_run: Whether an earlier incarnation of the worker may have
+            started the run.
         stop_outcome: The outcome to report after a requested stop; None if
             no stop was requested.
         stopped_ms: When the worker confirmed the stop; 0 before.
@@ -51,6 +53,7 @@
     phase: Phase = Phase.WAITING
     started_ms: int = 0
     confirmed: bool = False
+    may_have_run: bool = False
     stop_outcome: work.Outcome | None = None
     stopped_ms: int = 0
     size: work.Size = dataclasses.field(init=False)
@@ -213,7 +216,7 @@
                 continue
             if run.stopped_ms and run.stopped_ms <= sent_ms:
                 outcome = run.stop_outcome or work.Outcome.STOPPED
-                if not run.confirmed:
+                if not run.confirmed and not run.may_have_run:
                     outcome = work.Outcome.REFUSED_BY_WORKER
                 ends.append((run, outcome))
             elif run.confirmed and 0 < run.started_ms < sent_ms:
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -95,7 +95,7 @@
 
     async def test(rig: executorrig.Rig) -> None:
         rig.submit("job-1")
-        await rig.wait_until(lambda: bool(worker.running))
+        await _wait_until_confirmed(rig, "job-1")
         worker.crash()
         worker.restart()
         # Its clock was set back: the number is lower than the earlier one.
@@ -110,6 +110,59 @@
     executorrig.run(test, worker)
 
 
+async def _wait_until_confirmed(rig: executorrig.Rig, job: str) -> None:
+    """Waits until the start of a job's run was confirmed some time ago."""
+
+    def is_confirmed() -> bool:
+        run = rig.executor.runs.find(work.TaskId(job, 0, 0))
+        return run is not None and run.confirmed
+
+    await rig.wait_until(is_confirmed)
+    await asyncio.sleep(0.01)
+
+
+# Guards against tasks that run twice at once because they were started on a
+# worker's new incarnation before its first heartbeat.
+def test_run_that_a_new_incarnation_has_begun_is_not_lost_with_the_old() -> (
+    None
+):
+    worker = fakeworker.FakeWorker(run_ms=400)
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("before")
+        await _wait_until_confirmed(rig, "before")
+        worker.crash()
+        worker.restart()
+        rig.submit("after")
+        await rig.wait_until(lambda: bool(worker.running))
+        heartbeat = fakeworker.registration(worker)
+        await registrar.Registrar(rig.executor).handle_heartbeat(heartbeat)
+        assert rig.outcomes() == {"before": work.Outcome.CRASHED}
+        await rig.wait_until(lambda: len(rig.ends) == 2)
+        assert rig.outcomes()["after"] is work.Outcome.DONE
+        assert worker.lapsed == 0
+
+    executorrig.run(test, worker)
+
+
+def test_unanswered_start_at_a_worker_that_restarts_may_have_run() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+    worker.mute_starts = 2
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await rig.wait_until(lambda: bool(worker.running))
+        worker.crash()
+        worker.restart()
+        heartbeat = fakeworker.registration(worker)
+        await registrar.Registrar(rig.executor).handle_heartbeat(heartbeat)
+        await rig.wait_until(lambda: bool(rig.ends))
+        assert not rig.outcomes()["job-1"].never_started
+        await rig.wait_until(lambda: not worker.running)
+
+    executorrig.run(test, worker)
+
+
 def test_heartbeat_before_the_worker_accepts_calls_is_confirmed_later() -> None:
     worker = fakeworker.FakeWorker()
 
