Ignore answers that are older than a worker's registration

What callers would see: tasks started twice at once after a worker's restart, and the worker out of use until its next heartbeat. Not seen with processes.

Cause: an answer 'another worker answers here' to a call to the previous worker ended the one that had registered since; a refused connection that was told after a heartbeat was taken for a crash of its sender.

Change: the first counts only against the worker that was called, the second only if the worker has not answered since the call was sent.

--- a/packages/daemon/src/sardinerouted/worker/calls.py
+++ b/packages/daemon/src/sardinerouted/worker/calls.py
@@ -48,6 +48,7 @@
         self._offset_ms: int | None = None
         self._unanswered_since_ms: int | None = None
         self._is_refusing = False
+        self._answer_count = 0
         self._lease_sent_ms = 0
         self._request_pool = concurrent.futures.ThreadPoolExecutor(
             _REQUEST_THREADS, thread_name_prefix="order"
@@ -179,6 +180,7 @@
         """Records that the worker has answered or sent a heartbeat."""
         self._unanswered_since_ms = None
         self._is_refusing = False
+        self._answer_count += 1
 
     def reset_clock(self) -> None:
         """Discards the clock offset of an earlier incarnation of the worker."""
@@ -205,10 +207,11 @@
         function: Callable[..., Any],
         *arguments: Any,
     ) -> Any:
+        answers_before = self._answer_count
         try:
             result = await _in_thread(pool, function, *arguments)
         except hosting.Unanswered as error:
-            self._record_failure(error)
+            self._record_failure(error, self._answer_count > answers_before)
             raise
         except hosting.Rejected:
             self.record_answer()
@@ -216,10 +219,16 @@
         self.record_answer()
         return result
 
-    def _record_failure(self, error: hosting.Unanswered) -> None:
-        """Records a call without an answer; logs the first one in a row."""
+    def _record_failure(
+        self, error: hosting.Unanswered, answered_since: bool
+    ) -> None:
+        """Records a call without an answer; logs the first one in a row.
+
+        A refused call shows nothing about a worker that has answered since it
+        was sent: its process may have started in between.
+        """
         now_ms = self._clock.now_ms()
-        refused = isinstance(error, hosting.NotListening)
+        refused = isinstance(error, hosting.NotListening) and not answered_since
         if self._unanswered_since_ms is None or refused != self._is_refusing:
             _log.info(
                 "The worker has not answered a call.",
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -487,7 +487,12 @@
         return True
 
     def _handle_other_worker(self, called: hosting.Registration) -> None:
-        """Ends the worker that was called, as another one has its address."""
+        """Ends the worker that was called, as another one has its address.
+
+        Does nothing if that one has registered since the call was sent.
+        """
+        if self.worker is None or self.worker.id != called.id:
+            return
         _log.warning(
             "A different worker answers at this address.", called=called.id
         )
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -13,8 +13,11 @@
 import fakeplatform
 import fakeworker
 import hostedprocesses
+from sardineroute_core import clock
 from sardineroute_core import errors
+from sardineroute_core import hosting
 from sardineroute_core import work
+from sardinerouted.worker import calls
 from sardinerouted.worker import registrar
 
 _TASKS = 4
@@ -223,3 +226,53 @@
         assert rig.executor.worker is None
 
     executorrig.run(test, worker)
+
+
+# Guards against runs that are reported as ended because an answer to a call
+# to the previous worker arrives late.
+def test_late_answer_to_a_call_to_the_previous_worker_ends_no_run() -> None:
+    worker = fakeworker.FakeWorker(run_ms=5_000)
+
+    async def test(rig: executorrig.Rig) -> None:
+        rig.submit("job-1")
+        await _wait_until_confirmed(rig, "job-1")
+        worker.running.clear()
+        worker.id = "w-2"
+        # The call that waits for ends is answered by the new worker now.
+        rig.executor.register(fakeworker.registration(worker))
+        rig.submit("job-2", worker="w-2")
+        await rig.wait_until(lambda: bool(worker.running))
+        await asyncio.sleep(0.1)
+        assert rig.outcomes() == {"job-1": work.Outcome.CRASHED}
+
+    executorrig.run(test, worker)
+
+
+def test_refused_call_is_no_evidence_against_a_worker_that_answered_since() -> (
+    None
+):
+    refuse = threading.Event()
+
+    class Worker(fakeworker.FakeWorker):
+        """Refuses the connection of a stop request with a delay."""
+
+        def stop(self, worker: str, run: hosting.RunRef, token: int) -> None:
+            """Waits for the test, then fails."""
+            refuse.wait(5)
+            raise hosting.NotListening("connection refused")
+
+    async def main() -> None:
+        worker_calls = calls.WorkerCalls(clock.Clock(), Worker())
+        ref = hosting.RunRef(work.TaskId("job", 0, 0), 1)
+        for answers_meanwhile in True, False:
+            refuse.clear()
+            stop = asyncio.create_task(worker_calls.stop("w-1", ref))
+            await asyncio.sleep(0.01)
+            if answers_meanwhile:
+                worker_calls.record_answer()
+            refuse.set()
+            with pytest.raises(hosting.NotListening):
+                await stop
+            assert worker_calls.is_refusing is not answers_meanwhile
+
+    asyncio.run(main())
