Check a stored registration as strictly as a heartbeat

What operators saw (reported to the users of similar systems, reproduced here): one odd record among those of the workers ended the process that reads it, again and again.

Cause: a stored registration was checked for its types only. An id that no HTTP header can hold failed in the call that confirms the worker, a number of more than 64 bits in the message to the entries; both in a loop whose failure ends the process. Started again, the sidecar read the same record.

Change: an invalid one is skipped with a line, and the worker is known by its next heartbeat.

--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import re
 import types
 from collections.abc import Callable
 from typing import Any
@@ -14,6 +15,13 @@
 from sardineroute_core import routing
 from sardineroute_core import work
 
+# Ids are sent in HTTP headers.
+_WORKER_ID = re.compile(r"[!-~]{1,128}")
+_MAX_LABELS = 64
+_MAX_NAME_CHARS = 256
+# Larger integers don't fit into the messages between our processes.
+_MAX_INTEGER = 2**53
+
 
 class Unanswered(Exception):
     """Raised for a call without a usable reply.
@@ -141,6 +149,41 @@
         return self.id == other.id and self.sequence < other.sequence
 
 
+def check_registration(registration: Registration) -> None:
+    """Checks that a registration can be used and passed on.
+
+    Raises:
+        UnusableRecord: A value is out of range.
+    """
+    size = registration.capacity
+    numbers = {
+        "incarnation": registration.incarnation,
+        "cpu_millicores": size.cpu_millicores,
+        "memory_mb": size.memory_mb,
+        "gpus": size.gpus,
+    }
+    names = (registration.service, *registration.labels)
+    if not _WORKER_ID.fullmatch(registration.id):
+        raise UnusableRecord(f"id: found {registration.id!r:.60}")
+    if len(registration.labels) > _MAX_LABELS:
+        raise UnusableRecord(f"labels: found {len(registration.labels)}")
+    for value in names:
+        if not is_name(value):
+            raise UnusableRecord(f"service or label: found {value!r:.60}")
+    for name, number in numbers.items():
+        if not 0 <= number <= _MAX_INTEGER:
+            raise UnusableRecord(f"{name}: found {number!r:.60}")
+
+
+def is_name(value: Any) -> bool:
+    """Returns whether a value is a string that can name something."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= _MAX_NAME_CHARS
+        and value.isprintable()
+    )
+
+
 class WorkerClient(Protocol):
     """Blocking calls to the worker beside a sidecar.
 
--- a/packages/daemon/src/sardinerouted/worker/recall.py
+++ b/packages/daemon/src/sardinerouted/worker/recall.py
@@ -143,8 +143,10 @@
 
 def _decode(value: bytes) -> hosting.Registration | None:
     try:
-        return _REGISTRATION_ADAPTER.validate_json(value)
-    except pydantic.ValidationError as error:
+        registration = _REGISTRATION_ADAPTER.validate_json(value)
+        hosting.check_registration(registration)
+        return registration
+    except (pydantic.ValidationError, hosting.UnusableRecord) as error:
         _log.warning(
             "The worker's stored registration is invalid.", why=str(error)[:80]
         )
