Check each field of a heartbeat before anything changes

Cause: fields that the platform names weren't required, labels of any type were taken as texts, and half of a surrogate pair passed as text. That failed in the message to the entries or in the record for the store, after the worker's state had changed, and broke the streams to the entries until the next heartbeat.

The heartbeats of tests/hostedprocesses.py and test_adapter.py have all fields now; no check was changed.

--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -229,6 +229,10 @@
         worker = self._workers[number]
         body = {
             "service": "receipts",
+            "address": "127.0.0.1:80",
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": 8,
             "state": "ready",
             "capacity": {"cpu": 4_000, "memMb": 1_000},
             "labels": ["a"],
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -38,6 +38,9 @@
 HEARTBEAT = {
     "service": "s",
     "address": "10.0.0.1:1",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
     "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
     "labels": ["a", "r1-3"],
--- /dev/null
+++ b/tests/test_odd_fields.py
@@ -0,0 +1,244 @@
+"""Each field of each message: missing, of another type, or out of range."""
+
+import copy
+import json
+import pathlib
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+import fakeplatform
+import fakeworker
+import hostedprocesses
+from sardineroute_core import codec
+from sardineroute_core import errors
+from sardineroute_core import hosting
+from sardineroute_core import runmessages
+from sardineroute_platform import heartbeats
+from sardinerouted.hosted import discovery
+from sardinerouted.worker import recall
+
+Path = tuple[str | int, ...]
+
+_HALF_PAIR = "\ud83d"
+_MISSING = object()
+
+
+def _nested(depth: int) -> Any:
+    value: Any = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+_ODD_VALUES: list[Any] = [
+    _MISSING,
+    None,
+    True,
+    1,
+    -1,
+    1.5,
+    1e300,
+    2**64,
+    10**400,
+    "",
+    "1",
+    "10.0.0.1:70000",
+    "10.0.0.1:" + "1" * 5_000,
+    _HALF_PAIR,
+    "a\r\nb",
+    [],
+    [_HALF_PAIR],
+    [7],
+    _nested(300),
+    {},
+    {"a": 1},
+]
+
+
+def _is_amount(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= 2**53
+
+
+def _is_amount_or_missing(value: Any) -> bool:
+    return value is _MISSING or _is_amount(value)
+
+
+def _is_number_or_missing(value: Any) -> bool:
+    return _is_amount_or_missing(value) or value == 1.5
+
+
+def _is_name(value: Any) -> bool:
+    return (
+        isinstance(value, str) and 0 < len(value) <= 256 and value.isprintable()
+    )
+
+
+def _is_boolean_or_missing(value: Any) -> bool:
+    return value is _MISSING or isinstance(value, bool)
+
+
+def _is_text_or_missing(value: Any) -> bool:
+    return value is _MISSING or (isinstance(value, str) and value != _HALF_PAIR)
+
+
+def _is_empty_list(value: Any) -> bool:
+    return value == []
+
+
+def _is_empty_list_or_missing(value: Any) -> bool:
+    return value is _MISSING or value == []
+
+
+def _is_one_or_missing(value: Any) -> bool:
+    return value is _MISSING or (type(value) is int and value == 1)
+
+
+def _is_never_right(value: Any) -> bool:
+    del value
+    return False
+
+
+HEARTBEAT = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482_113,
+    "sequence": 4,
+    "born": 99,
+}
+_HEARTBEAT_CHECKS: dict[Path, Callable[[Any], bool]] = {
+    ("service",): _is_name,
+    ("address",): _is_never_right,
+    ("zone",): _is_name,
+    ("version",): _is_name,
+    ("slots",): _is_amount,
+    ("state",): _is_never_right,
+    ("coldRemainingMs",): _is_amount_or_missing,
+    ("remainingMs",): _is_amount_or_missing,
+    ("capacity",): _is_never_right,
+    ("capacity", "cpu"): _is_amount,
+    ("capacity", "memMb"): _is_amount,
+    ("capacity", "gpu"): _is_amount_or_missing,
+    ("labels",): _is_empty_list,
+    ("labels", 1): _is_name,
+    ("clockMs",): _is_amount,
+    ("sequence",): _is_amount,
+    ("born",): _is_amount,
+}
+
+
+def _changed(document: Any, path: Path, value: Any) -> bytes:
+    """Returns the JSON of a document with another value at a path."""
+    document = copy.deepcopy(document)
+    parent = document
+    for key in path[:-1]:
+        parent = parent[key]
+    if value is _MISSING:
+        parent.pop(path[-1], None)
+    else:
+        parent[path[-1]] = value
+    return json.dumps(document).encode()
+
+
+def _wrongly_taken(
+    document: Any,
+    checks: dict[Path, Callable[[Any], bool]],
+    decode: Callable[[bytes], Any],
+) -> Iterator[tuple[Path, str]]:
+    """Yields path and value of what is taken or refused against the checks."""
+    decode(json.dumps(document).encode())
+    for path, is_right in checks.items():
+        for value in _ODD_VALUES:
+            if value is _MISSING and isinstance(path[-1], int):
+                continue
+            try:
+                decode(_changed(document, path, value))
+            except (hosting.UnusableRecord, errors.Error):
+                is_taken = False
+            else:
+                is_taken = True
+            if is_taken != is_right(value):
+                yield path, repr(value)[:40]
+
+
+def _decode_heartbeat(body: bytes) -> None:
+    """Decodes a heartbeat and passes it on, to entries and the store."""
+    registration = heartbeats.decode("i-1", body)
+    recall.encode(registration)
+    codec.encode(
+        runmessages.Worker(
+            registration.id,
+            registration.incarnation,
+            registration.service,
+            registration.capacity.cpu_millicores,
+            registration.capacity.memory_mb,
+            registration.capacity.gpus,
+            registration.labels,
+            True,
+            "zone",
+        )
+    )
+
+
+# Guards against a worker that is used, or known wrongly, by what another
+# sender has left out or written as another type.
+def test_each_field_of_a_heartbeat_is_checked() -> None:
+    assert not list(
+        _wrongly_taken(HEARTBEAT, _HEARTBEAT_CHECKS, _decode_heartbeat)
+    )
+
+
+@pytest.mark.parametrize(
+    "worker_id", ["", "i 1", "i\r\nX: 1", "i-\u20ac", _HALF_PAIR, "i" * 200]
+)
+def test_id_that_no_header_can_hold_is_refused(worker_id: str) -> None:
+    with pytest.raises(hosting.UnusableRecord):
+        heartbeats.decode(worker_id, json.dumps(HEARTBEAT).encode())
+
+
+@pytest.mark.parametrize("value", _ODD_VALUES)
+@pytest.mark.parametrize("name", ["host", "port"])
+def test_odd_announcement_ends_no_discovery(name: str, value: Any) -> None:
+    document = {"host": "10.0.0.1", "port": 7}
+    record = hosting.Record("a", _changed(document, (name,), value), 0)
+    good = hosting.Record("b", json.dumps(document).encode(), 1)
+    assert ("10.0.0.1", 7) in discovery.decode(hosting.Batch((record, good), 2))
+
+
+# Guards against a sidecar that loses its streams by a heartbeat.
+@pytest.mark.parametrize(
+    ("worker_id", "changes"),
+    [
+        ("w%0d%0aX:%201", {}),
+        ("w-%E2%82%AC", {}),
+        ("w-sidecar-0", {"service": _HALF_PAIR}),
+        ("w-sidecar-0", {"labels": _nested(300)}),
+        ("w-sidecar-0", {"born": 10**58}),
+        ("w-sidecar-0", {"address": "10.0.0.1:70000"}),
+    ],
+)
+def test_odd_heartbeat_is_refused_and_leaves_the_worker(
+    tmp_path: pathlib.Path, worker_id: str, changes: Any
+) -> None:
+    worker = fakeworker.FakeWorker()
+    step = {"count": 1, "cpu": 1_000, "memMb": 10, "estimateMs": 50}
+    job = {"spec": "text", "bestEffort": True, "steps": [step]}
+    with fakeplatform.serve() as store:
+        store.append("keyed.op", "config", hostedprocesses.configuration(3))
+        fleet = hostedprocesses.Fleet(store, tmp_path, 1, [worker])
+        try:
+            fleet.start()
+            assert fleet.send_heartbeat(0, worker_id, **changes) == 400
+            assert fleet.submit("0" * 16, job).status == 200
+            assert "Traceback" not in fleet.output("sidecar-0")
+        finally:
+            fleet.close()
