--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -17,6 +17,7 @@
 from sardineroute_core import hosting
 from sardineroute_core import runmessages
 from sardineroute_platform import heartbeats
+from sardineroute_platform import worker_client
 from sardinerouted.hosted import discovery
 from sardinerouted.worker import recall
 
@@ -134,6 +135,26 @@
     ("sequence",): _is_amount,
     ("born",): _is_amount,
 }
+TASK = "0123456789abcdef.0.1.17"
+LISTING = {
+    "clockMs": 482_113,
+    "born": 99,
+    "running": [[TASK, 2, "", 41, 0]],
+    "endedRuns": [[58, TASK, 1, "done", ""]],
+}
+_LISTING_CHECKS: dict[Path, Callable[[Any], bool]] = {
+    ("clockMs",): _is_amount,
+    ("born",): _is_amount_or_missing,
+    ("running",): _is_empty_list,
+    ("running", 0): _is_never_right,
+    ("running", 0, 0): _is_never_right,
+    ("running", 0, 1): _is_amount,
+    ("endedRuns",): _is_empty_list,
+    ("endedRuns", 0): _is_never_right,
+    ("endedRuns", 0, 0): _is_amount,
+    ("endedRuns", 0, 1): _is_never_right,
+    ("endedRuns", 0, 2): _is_amount,
+}
 
 
 def _changed(document: Any, path: Path, value: Any) -> bytes:
@@ -205,6 +226,35 @@
         heartbeats.decode(worker_id, json.dumps(HEARTBEAT).encode())
 
 
+# Guards against a sidecar that ends by itself.
+def test_each_field_of_a_list_of_runs_is_checked() -> None:
+    def decode(body: bytes) -> None:
+        with fakeplatform.serve() as platform:
+            platform.worker_reply = (200, body)
+            client = worker_client.Client(platform.address)
+            try:
+                client.renew_leases("w-1", 0, 1, 0, 0)
+            except hosting.Unanswered as error:
+                raise hosting.UnusableRecord(str(error)) from error
+
+    assert not list(_wrongly_taken(LISTING, _LISTING_CHECKS, decode))
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "0123456789abcdef.0.0.\u00b2",
+        "0123456789abcdef.0.0." + "1" * 5_000,
+        "0123456789abcdef.0.0.1.1",
+        "",
+        "...",
+    ],
+)
+def test_task_name_with_an_odd_number_is_refused(name: str) -> None:
+    with pytest.raises(hosting.UnusableRecord):
+        worker_client.decode_task(name)
+
+
 @pytest.mark.parametrize("value", _ODD_VALUES)
 @pytest.mark.parametrize("name", ["host", "port"])
 def test_odd_announcement_ends_no_discovery(name: str, value: Any) -> None:
