Refuse a job with half of a surrogate pair or an odd flag

What callers saw (review, seen but no case): 500 on a spec that holds half of a surrogate pair; an entry without workers ended.

Cause: the text was taken, and failed when it was encoded for a sidecar. Flags and numbers that no feature here uses weren't checked; a flag of another type was taken as set or unset.

Change: 400 with the position of the half pair, and for each field of another type or out of range.

--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -16,6 +16,8 @@
 from sardineroute_core import errors
 from sardineroute_core import hosting
 from sardineroute_core import runmessages
+from sardineroute_core import work
+from sardineroute_platform import callers
 from sardineroute_platform import heartbeats
 from sardineroute_platform import worker_client
 from sardinerouted.hosted import discovery
@@ -135,6 +137,53 @@
     ("sequence",): _is_amount,
     ("born",): _is_amount,
 }
+STEP = {
+    "count": 2,
+    "cpu": 500,
+    "memMb": 64,
+    "gpu": 0,
+    "estimateMs": 90,
+    "after": [],
+    "requires": "a",
+    "affinity": "r1",
+    "antiAffinity": 0,
+}
+JOB = {"spec": "text", "bestEffort": True, "steps": [STEP]}
+_JOB_CHECKS: dict[Path, Callable[[Any], bool]] = {
+    ("spec",): _is_text_or_missing,
+    ("bestEffort",): lambda value: value is True,
+    ("repeatCount",): lambda value: value is _MISSING,
+    ("startAtMs",): _is_amount_or_missing,
+    ("intervalMs",): _is_amount_or_missing,
+    ("steps",): _is_never_right,
+    ("steps", 0): lambda value: isinstance(value, dict),
+    ("steps", 0, "count"): _is_one_or_missing,
+    **{
+        ("steps", 0, name): _is_amount_or_missing
+        for name in (
+            "cpu",
+            "memMb",
+            "gpu",
+            "estimateMs",
+            "antiAffinity",
+            "targetMs",
+            "maxUnavailable",
+        )
+    },
+    ("steps", 0, "after"): _is_empty_list_or_missing,
+    **{
+        ("steps", 0, name): _is_text_or_missing
+        for name in ("requires", "affinity", "image")
+    },
+    **{
+        ("steps", 0, name): _is_boolean_or_missing
+        for name in ("speculative", "checkpointing")
+    },
+    **{
+        ("steps", 0, name): lambda value: value is _MISSING
+        for name in ("gang", "rackLocality", "fills", "longRunning")
+    },
+}
 TASK = "0123456789abcdef.0.1.17"
 LISTING = {
     "clockMs": 482_113,
@@ -226,6 +275,27 @@
         heartbeats.decode(worker_id, json.dumps(HEARTBEAT).encode())
 
 
+# Guards against a job whose caller gets an internal error, and an entry that
+# ends.
+def test_each_field_of_a_job_is_checked() -> None:
+    def decode(body: bytes) -> None:
+        request = callers.decode("0" * 16, body, 1_000)
+        step = request.steps[0]
+        codec.encode(
+            fakeworker.start_message(
+                "job",
+                0,
+                payload=request.payload,
+                cpu_millicores=step.size.cpu_millicores,
+                memory_mb=step.size.memory_mb,
+                gpus=step.size.gpus,
+                estimate_ms=step.estimate_ms,
+            )
+        )
+
+    assert not list(_wrongly_taken(JOB, _JOB_CHECKS, decode))
+
+
 # Guards against a sidecar that ends by itself.
 def test_each_field_of_a_list_of_runs_is_checked() -> None:
     def decode(body: bytes) -> None:
@@ -292,3 +362,24 @@
             assert "Traceback" not in fleet.output("sidecar-0")
         finally:
             fleet.close()
+
+
+def test_job_with_half_a_surrogate_pair_is_refused(
+    tmp_path: pathlib.Path,
+) -> None:
+    worker = fakeworker.FakeWorker()
+    step = {"count": 1, "cpu": 1_000, "memMb": 10, "estimateMs": 50}
+    job = {"spec": "text", "bestEffort": True, "steps": [step]}
+    with fakeplatform.serve() as store:
+        store.append("keyed.op", "config", hostedprocesses.configuration(3))
+        fleet = hostedprocesses.Fleet(store, tmp_path, 1, [worker])
+        try:
+            fleet.start()
+            odd = {**job, "spec": f"a{_HALF_PAIR}"}
+            response = fleet.submit("0" * 16, odd)
+            assert response.status == 400
+            assert "character 1" in response.json()["detail"]
+            assert fleet.submit("1" * 16, job).status == 200
+            assert worker.starts[0].task == work.TaskId("1" * 16, 0, 0)
+        finally:
+            fleet.close()
