--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -19,6 +19,7 @@
 from sardineroute_core import work
 from sardineroute_platform import callers
 from sardineroute_platform import heartbeats
+from sardineroute_platform import operator_record
 from sardineroute_platform import worker_client
 from sardinerouted.hosted import discovery
 from sardinerouted.worker import recall
@@ -137,6 +138,35 @@
     ("sequence",): _is_amount,
     ("born",): _is_amount,
 }
+ROUTE = {
+    "name": "r-1",
+    "hostname": "a.example",
+    "pathPrefix": "/a/",
+    "timeoutMs": 1500,
+    "targetLatencyMs": 60,
+    "priority": 2,
+    "service": "s",
+    "maxAttempts": 3,
+    "stretch": 1.6,
+}
+CONFIGURATION = {"version": 7, "routes": [ROUTE], "services": [{"name": "s"}]}
+_CONFIGURATION_CHECKS: dict[Path, Callable[[Any], bool]] = {
+    ("version",): _is_amount,
+    ("routes",): _is_empty_list,
+    ("routes", 0): _is_never_right,
+    ("services",): _is_empty_list,
+    ("services", 0): _is_never_right,
+    ("services", 0, "name"): _is_name,
+    **{
+        ("routes", 0, name): _is_name
+        for name in ("name", "hostname", "pathPrefix", "service")
+    },
+    **{
+        ("routes", 0, name): _is_amount_or_missing
+        for name in ("timeoutMs", "targetLatencyMs", "priority", "maxAttempts")
+    },
+    ("routes", 0, "stretch"): _is_number_or_missing,
+}
 STEP = {
     "count": 2,
     "cpu": 500,
@@ -275,6 +305,16 @@
         heartbeats.decode(worker_id, json.dumps(HEARTBEAT).encode())
 
 
+# Guards against routes that vanish, or requests that end in an error, by a
+# configuration of which one field is odd.
+def test_each_field_of_a_configuration_is_checked() -> None:
+    assert not list(
+        _wrongly_taken(
+            CONFIGURATION, _CONFIGURATION_CHECKS, operator_record.decode
+        )
+    )
+
+
 # Guards against a job whose caller gets an internal error, and an entry that
 # ends.
 def test_each_field_of_a_job_is_checked() -> None:
