Refuse a heartbeat that contradicts the worker's earlier ones

What callers would see: 503 although workers are free. Not seen with processes.

Cause: a heartbeat under the worker's id and start time, but with another service, replaced the service at the sidecar until the next one. An entry that connected meanwhile was told it, and not told of the return.

Change: an incarnation keeps service and labels. A heartbeat with others is refused, unless the one before it had the same: then the registered ones were wrong, and the entries are told the new ones.

Measured: the 3 new tests failed before and pass.

--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -138,8 +138,13 @@
         if changed:
             self._begin_incarnation(registration, listing)
         draining = previous is not None and previous.draining
-        resized = (
-            previous is not None and previous.capacity != registration.capacity
+        redescribed = previous is not None and (
+            (previous.capacity, previous.service, previous.labels)
+            != (
+                registration.capacity,
+                registration.service,
+                registration.labels,
+            )
         )
         self.worker = registration
         self.runs.capacity = registration.capacity
@@ -147,7 +152,7 @@
             self._calls.update_clock(registration.clock_ms)
         self._calls.record_answer()
         self.check_liveness()
-        if changed or resized or draining != registration.draining:
+        if changed or redescribed or draining != registration.draining:
             _log.info(
                 "The worker has registered.",
                 worker=registration.id,
--- a/packages/daemon/src/sardinerouted/worker/registrar.py
+++ b/packages/daemon/src/sardinerouted/worker/registrar.py
@@ -17,6 +17,9 @@
 _MAX_ATTEMPTS = 5
 _RETRY_INTERVAL_MS = 40
 
+# Service and labels, which an incarnation of a worker never changes.
+_Constants = tuple[str, tuple[str, ...]]
+
 _log = logs.get_logger("registrar")
 
 
@@ -30,6 +33,7 @@
     def __init__(self, executor: executors.Executor) -> None:
         self._executor = executor
         self._lock = asyncio.Lock()
+        self._contested: _Constants | None = None
 
     async def handle_heartbeat(
         self, registration: hosting.Registration
@@ -38,18 +42,54 @@
 
         Raises:
             errors.Error: `FORBIDDEN` if another worker answers at the
-                address, `OVERLOADED` if none does.
+                address, or the heartbeat contradicts the worker's earlier
+                ones; `OVERLOADED` if no worker answers.
         """
         if self._is_registered(registration):
+            self._check_constants(registration)
             self._executor.register(registration)
             return
         # One at a time, so that the calls leave room for those about runs.
         async with self._lock:
-            listing = None
-            if not self._is_registered(registration):
-                listing = await confirm(self._executor, registration)
+            if self._is_registered(registration):
+                self._check_constants(registration)
+                self._executor.register(registration)
+                return
+            listing = await confirm(self._executor, registration)
+            self._contested = None
             self._executor.register(registration, listing)
 
+    def _check_constants(self, registration: hosting.Registration) -> None:
+        """Checks what an incarnation of a worker never changes.
+
+        The same other values in two heartbeats in a row are accepted: then
+        those that are registered were another sender's.
+
+        Raises:
+            errors.Error: The service or the labels differ.
+        """
+        worker = self._executor.worker
+        constants = _constants(registration)
+        if worker is None or constants == _constants(worker):
+            self._contested = None
+            return
+        is_repeated = constants == self._contested
+        self._contested = None if is_repeated else constants
+        _log.warning(
+            "A heartbeat contradicts the worker's earlier ones.",
+            worker=registration.id,
+            service=registration.service,
+            labels=registration.labels,
+            registered_service=worker.service,
+            registered_labels=worker.labels,
+            accepted=is_repeated,
+        )
+        if not is_repeated:
+            raise errors.Error(
+                errors.Kind.FORBIDDEN,
+                "the service or the labels differ from the worker's",
+            )
+
     def _is_registered(self, registration: hosting.Registration) -> bool:
         worker = self._executor.worker
         return (
@@ -95,6 +135,10 @@
     )
 
 
+def _constants(registration: hosting.Registration) -> _Constants:
+    return registration.service, registration.labels
+
+
 def _refusal(
     executor: executors.Executor,
     registration: hosting.Registration,
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -148,6 +148,55 @@
     executorrig.run(test, worker)
 
 
+# Guards against a worker that entries take for one of another service, and
+# send no more tasks to.
+@pytest.mark.parametrize(
+    "change", [{"service": "unknown"}, {"labels": ("other",)}]
+)
+def test_heartbeat_of_another_service_under_the_workers_id_is_refused(
+    change: Any,
+) -> None:
+    worker = fakeworker.FakeWorker()
+
+    async def test(rig: executorrig.Rig) -> None:
+        handler = registrar.Registrar(rig.executor)
+        first = fakeworker.registration(worker, sequence=2)
+        other = dataclasses.replace(first, sequence=3, **change)
+        for sequence in 4, 5:
+            with pytest.raises(errors.Error):
+                await handler.handle_heartbeat(other)
+            heartbeat = fakeworker.registration(worker, sequence)
+            await handler.handle_heartbeat(heartbeat)
+            assert rig.executor.worker is heartbeat
+
+    executorrig.run(test, worker)
+
+
+def test_service_that_two_heartbeats_in_a_row_name_is_accepted_and_told() -> (
+    None
+):
+    worker = fakeworker.FakeWorker()
+
+    async def test(rig: executorrig.Rig) -> None:
+        handler = registrar.Registrar(rig.executor)
+        told: list[str] = []
+
+        def record_service() -> None:
+            assert rig.executor.worker is not None
+            told.append(rig.executor.worker.service)
+
+        rig.executor.on_change = record_service
+        right = dataclasses.replace(
+            fakeworker.registration(worker, sequence=2), service="right"
+        )
+        with pytest.raises(errors.Error):
+            await handler.handle_heartbeat(right)
+        await handler.handle_heartbeat(right)
+        assert told == ["right"]
+
+    executorrig.run(test, worker)
+
+
 # Guards against "not run" being said of a task that an earlier incarnation of
 # the worker has begun.
 def test_unanswered_start_at_a_worker_that_restarts_may_have_run() -> None:
