Soak: messages of other senders, and sidecars restarted in turn

Cause: no soak sent a sidecar anything but its worker's own messages, so that the fault of the users' own runs could not show.

Change: the soak of hosted processes also sends heartbeats of other senders (ten variants, under the worker's id or another one) and deregistrations, loses heartbeats for 3.5 s, ends workers that start again under their id, and stops and starts all sidecars in turn, beside its other faults.

--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -1,6 +1,7 @@
 """Runs entries and sidecars as processes against a fake platform."""
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import random
@@ -24,6 +25,7 @@
 HOST = "a.example"
 _SECRET = "a secret of sixteen"
 _WAIT_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 6.0
 
 
 def configuration(version: int) -> bytes:
@@ -116,6 +118,7 @@
         self._worker_servers = [fakeplatform.serve() for _ in workers]
         self._worker_addresses: list[str] = []
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.unheard_workers: set[int] = set()
         self.links = Links()
 
     def start(self) -> None:
@@ -209,9 +212,14 @@
         )
 
     def send_heartbeats(self) -> None:
-        """Sends one heartbeat of each worker to its sidecar."""
+        """Sends one heartbeat of each worker to its sidecar.
+
+        None is sent by workers that are down, nor by those in
+        `unheard_workers`.
+        """
         for number, worker in enumerate(self._workers):
-            self.send_heartbeat(number, worker.id)
+            if not worker.is_gone and number not in self.unheard_workers:
+                self.send_heartbeat(number, worker.id)
 
     def send_heartbeat(
         self, number: int, worker_id: str, **changes: object
@@ -241,9 +249,29 @@
             "born": worker.incarnation,
             **changes,
         }
+        return self._call_sidecar(number, f"{worker_id}/heartbeat", body)
+
+    def deregister(self, number: int) -> int:
+        """Deregisters the worker of the sidecar with this number.
+
+        Returns:
+            The status of the response.
+        """
+        worker_id = self._workers[number].id
+        return self._call_sidecar(number, f"{worker_id}/deregister", {})
+
+    def restart_sidecars(self) -> None:
+        """Stops and starts the sidecars one after the other."""
+        for name in self._sidecars:
+            self.signal(name, signal.SIGTERM)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                self.processes_by_name[name].wait(_STOP_TIMEOUT_S)
+            self.start_process(name)
+
+    def _call_sidecar(self, number: int, path: str, body: Any) -> int:
         url = f"http://{self.address(self._sidecars[number], 'control')}"
-        url += f"/v1/instances/{worker_id}/heartbeat"
-        return _status("POST", url, json.dumps(body).encode())
+        content = json.dumps(body).encode()
+        return _status("POST", f"{url}/v1/instances/{path}", content)
 
     def submit(
         self, job_id: str, job: Any, traceparent: str = ""
--- a/tests/hostedsoak.py
+++ b/tests/hostedsoak.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 
 import urllib3
@@ -26,6 +27,24 @@
 }
 _LINK_FAULTS = ("delay", "hold", "silence", "reset", "mend")
 _OTHER_FAULTS = ("start", "lose", "mute", "store")
+# Messages of other senders, lost heartbeats, workers that start again under
+# their id, and restarts of all sidecars in turn.
+_SENDER_FAULTS = ("foreign", "deregister", "unheard", "reborn", "roll")
+# Fields of a heartbeat that its worker has not sent; None is of no type that a
+# field has.
+_FOREIGN_CHANGES: tuple[dict[str, Any], ...] = (
+    {"sequence": 1, "born": 2**50},
+    {"born": 1},
+    {"service": "unknown"},
+    {"service": "unknown", "born": 2**50},
+    {"labels": ["other"]},
+    {"address": None},
+    {"born": None},
+    {"born": 10**58},
+    {"service": "\ud83d"},
+    {"state": "dancing"},
+)
+_UNHEARD_S = 3.5
 _SILENT_STORE_SHARE = 0.25
 # Time after which callers retry a job whose connection they have lost.
 _RETRY_DELAY_S = 1.3
@@ -77,6 +96,8 @@
             worker.on_start = self._make_start_check(worker_number)
         self._entries = entries
         self._stopping = threading.Event()
+        self._rolls: list[threading.Thread] = []
+        self._timers: list[threading.Timer] = []
         self._started_at_s = time.monotonic()
         self._started_jobs: set[str] = set()
         self._refused_jobs: set[str] = set()
@@ -140,7 +161,12 @@
         name = self._random.choice(fleet.names())
         worker = self._random.choice(self._workers)
         kind = self._random.choice(
-            [*_SIGNALS_BY_KIND, *_LINK_FAULTS, *_OTHER_FAULTS]
+            [
+                *_SIGNALS_BY_KIND,
+                *_LINK_FAULTS,
+                *_OTHER_FAULTS,
+                *_SENDER_FAULTS,
+            ]
         )
         self.report.faults.append(f"{self._elapsed_s():.2f} {kind} {name}")
         if kind in _SIGNALS_BY_KIND:
@@ -155,17 +181,50 @@
         elif kind == "store":
             store.status = self._random.choice([0, 503, 429])
             store.silent = self._random.random() < _SILENT_STORE_SHARE
+        elif kind in _SENDER_FAULTS:
+            self._inject_sender_fault(fleet, kind)
         else:
             for other in fleet.names():
                 fleet.signal(other, signal.SIGCONT)
                 fleet.start_process(other)
 
+    def _inject_sender_fault(
+        self, fleet: hostedprocesses.Fleet, kind: str
+    ) -> None:
+        number = self._random.randrange(len(self._workers))
+        worker = self._workers[number]
+        if kind == "foreign":
+            worker_id = self._random.choice([worker.id, "w-other"])
+            changes = self._random.choice(_FOREIGN_CHANGES)
+            fleet.send_heartbeat(number, worker_id, **changes)
+        elif kind == "deregister":
+            fleet.deregister(number)
+        elif kind == "unheard":
+            fleet.unheard_workers.add(number)
+            self._call_later(_UNHEARD_S, fleet.unheard_workers.discard, number)
+        elif kind == "reborn":
+            with self._lock:
+                worker.crash()
+            self._call_later(self._random.uniform(0.02, 1.0), worker.restart)
+        elif not any(thread.is_alive() for thread in self._rolls):
+            self._rolls = [threading.Thread(target=fleet.restart_sidecars)]
+            self._rolls[0].start()
+
+    def _call_later(
+        self, delay_s: float, call: Callable[..., None], *arguments: Any
+    ) -> None:
+        timer = threading.Timer(delay_s, call, arguments)
+        self._timers.append(timer)
+        timer.start()
+
     def _replay(self, worker: fakeworker.FakeWorker) -> None:
         worker.replay()
 
     def _clear_faults(
         self, fleet: hostedprocesses.Fleet, store: fakeplatform.FakePlatform
     ) -> None:
+        for thread in [*self._timers, *self._rolls]:
+            thread.join()
         store.status = 0
         store.silent = False
         fleet.links.clear_faults()
