--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -27,6 +27,7 @@
         silent: Whether requests get no response.
         newest_page: If set, the body of the responses to reads of the newest
             records.
+        newest_pages_by_key: If set, such bodies by the key to continue after.
         worker_calls: Path, body and `Target-Instance` of the calls to the
             worker.
         worker_reply: Status and body of the responses to calls to the worker.
@@ -41,6 +42,7 @@
         self.refused_reads = 0
         self.silent = False
         self.newest_page: bytes | None = None
+        self.newest_pages_by_key: dict[str, bytes] = {}
         self.worker_calls: list[tuple[str, dict[str, Any], str]] = []
         self.worker_reply: tuple[int, Any] = (200, {"clockMs": 5})
         self.worker: fakeworker.FakeWorker | None = None
@@ -169,6 +171,8 @@
     path, _, text = target.partition("?")
     query = dict(urllib.parse.parse_qsl(text))
     records = platform.partitions.get(query["topic"], [])
+    if path == "/v1/log-newest" and platform.newest_pages_by_key:
+        return 200, platform.newest_pages_by_key[query.get("after", "")]
     if path == "/v1/log-newest" and platform.newest_page is not None:
         return 200, platform.newest_page
     if path == "/v1/log-newest":
--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -1,5 +1,6 @@
 """Each field of each message: missing, of another type, or out of range."""
 
+import contextlib
 import copy
 import json
 import pathlib
@@ -20,6 +21,7 @@
 from sardineroute_platform import callers
 from sardineroute_platform import heartbeats
 from sardineroute_platform import operator_record
+from sardineroute_platform import store
 from sardineroute_platform import worker_client
 from sardinerouted.hosted import discovery
 from sardinerouted.worker import recall
@@ -215,6 +217,7 @@
     },
 }
 TASK = "0123456789abcdef.0.1.17"
+_RUN = hosting.RunRef(work.TaskId("0123456789abcdef", 1, 17), 2)
 LISTING = {
     "clockMs": 482_113,
     "born": 99,
@@ -350,6 +353,106 @@
     assert not list(_wrongly_taken(LISTING, _LISTING_CHECKS, decode))
 
 
+def _is_missing_or_any(value: Any) -> bool:
+    del value
+    return True
+
+
+@pytest.mark.parametrize("status", [200, 409])
+def test_each_field_of_a_start_reply_is_checked(status: int) -> None:
+    checks = {
+        ("clockMs",): _is_missing_or_any,
+        ("reason",): _is_missing_or_any,
+    }
+
+    def decode(body: bytes) -> None:
+        with fakeplatform.serve() as platform:
+            platform.worker_reply = (status, body)
+            reply, clock_ms = worker_client.Client(platform.address).start(
+                "w-1", _RUN, "{}", 0, 1
+            )
+            right = {200: hosting.StartReply.STARTED}
+            right_reply = right.get(status, hosting.StartReply.FULL)
+            assert reply in (right_reply, hosting.StartReply.INVALID)
+            assert clock_ms is None or _is_amount(clock_ms)
+
+    reply = {"clockMs": 5, "reason": "room"}
+    assert not list(_wrongly_taken(reply, checks, decode))
+
+
+@pytest.mark.parametrize("status", [200, 409])
+def test_each_field_of_a_stop_reply_is_checked(status: int) -> None:
+    for name in "clockMs", "reason":
+        for value in _ODD_VALUES:
+            body = _changed({"clockMs": 5, "reason": "fence"}, (name,), value)
+            with fakeplatform.serve() as platform:
+                platform.worker_reply = (status, body)
+                client = worker_client.Client(platform.address)
+                with (
+                    contextlib.nullcontext()
+                    if status == 200
+                    else pytest.raises(hosting.Rejected)
+                ):
+                    client.stop("w-1", _RUN, 1)
+
+
+_ITEM = {"key": "a", "value": "MQ==", "offset": 3}
+
+
+# Guards against a reader that stops at a page by one odd record.
+@pytest.mark.parametrize("name", ["key", "value", "offset"])
+def test_odd_record_hides_no_other_record_of_its_page(name: str) -> None:
+    for value in _ODD_VALUES:
+        odd = json.loads(_changed(_ITEM, (name,), value))
+        items = [{**_ITEM, "key": "b"}, odd]
+        page = {"items": items, "end": 9, "hasMore": False}
+        with fakeplatform.serve() as platform:
+            platform.newest_page = json.dumps(page).encode()
+            batch = store.Client(platform.address).newest("entries")
+        assert ("b", b"1") in [(one.key, one.value) for one in batch.records]
+        assert batch.next_offset == 9
+
+
+# Guards against the same where the odd record ends a page that others follow.
+@pytest.mark.parametrize("odd", [7, None, {"key": _HALF_PAIR}, {}])
+def test_page_that_ends_with_an_odd_record_is_followed(odd: Any) -> None:
+    first = {"items": [{**_ITEM, "key": "b"}, odd], "end": 9, "hasMore": True}
+    second = {"items": [{**_ITEM, "key": "d"}], "end": 9, "hasMore": False}
+    with fakeplatform.serve() as platform:
+        platform.newest_pages_by_key = {
+            "": json.dumps(first).encode(),
+            "b": json.dumps(second).encode(),
+        }
+        batch = store.Client(platform.address).newest("entries")
+    assert [one.key for one in batch.records] == ["b", "d"]
+
+
+@pytest.mark.parametrize("name", ["items", "end", "hasMore"])
+def test_each_field_of_a_page_is_checked(name: str) -> None:
+    checks = {
+        ("items",): _is_empty_list_or_missing,
+        ("end",): _is_amount,
+        ("hasMore",): _is_boolean_or_missing,
+    }
+
+    def decode(body: bytes) -> None:
+        with fakeplatform.serve() as platform:
+            platform.newest_page = body
+            try:
+                store.Client(platform.address).newest("entries")
+            except hosting.Unanswered as error:
+                raise hosting.UnusableRecord(str(error)) from error
+
+    page = {"items": [], "end": 9, "hasMore": False}
+    check = {(name,): checks[(name,)]}
+    assert [
+        row
+        for row in _wrongly_taken(page, check, decode)
+        # Unreadable records of a page are skipped.
+        if row[0] != ("items",)
+    ] == []
+
+
 @pytest.mark.parametrize(
     "name",
     [
@@ -392,9 +495,9 @@
     worker = fakeworker.FakeWorker()
     step = {"count": 1, "cpu": 1_000, "memMb": 10, "estimateMs": 50}
     job = {"spec": "text", "bestEffort": True, "steps": [step]}
-    with fakeplatform.serve() as store:
-        store.append("keyed.op", "config", hostedprocesses.configuration(3))
-        fleet = hostedprocesses.Fleet(store, tmp_path, 1, [worker])
+    with fakeplatform.serve() as platform:
+        platform.append("keyed.op", "config", hostedprocesses.configuration(3))
+        fleet = hostedprocesses.Fleet(platform, tmp_path, 1, [worker])
         try:
             fleet.start()
             assert fleet.send_heartbeat(0, worker_id, **changes) == 400
@@ -410,9 +513,9 @@
     worker = fakeworker.FakeWorker()
     step = {"count": 1, "cpu": 1_000, "memMb": 10, "estimateMs": 50}
     job = {"spec": "text", "bestEffort": True, "steps": [step]}
-    with fakeplatform.serve() as store:
-        store.append("keyed.op", "config", hostedprocesses.configuration(3))
-        fleet = hostedprocesses.Fleet(store, tmp_path, 1, [worker])
+    with fakeplatform.serve() as platform:
+        platform.append("keyed.op", "config", hostedprocesses.configuration(3))
+        fleet = hostedprocesses.Fleet(platform, tmp_path, 1, [worker])
         try:
             fleet.start()
             odd = {**job, "spec": f"a{_HALF_PAIR}"}
