--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 import fakeplatform
+import samples
 from sardineroute_core import errors
 from sardineroute_core import hosting
 from sardineroute_core import work
@@ -19,41 +20,6 @@
 from sardineroute_platform import worker_client
 from sardinerouted.web import requests
 
-ROUTE = {
-    "name": "r-1",
-    "hostname": "A.example",
-    "pathPrefix": "/a/",
-    "timeoutMs": 1500,
-    "targetLatencyMs": 60,
-    "priority": 2,
-    "service": "s",
-    "maxAttempts": 3,
-    "stretch": 1.6,
-}
-CONFIGURATION = {
-    "version": 7,
-    "routes": [ROUTE, {**ROUTE, "name": "r-2", "pathPrefix": "/a/b/"}],
-    "services": [{"name": "s"}],
-}
-HEARTBEAT = {
-    "service": "s",
-    "address": "10.0.0.1:1",
-    "zone": "z",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "clockMs": 482_113,
-    "sequence": 4,
-    "born": 99,
-}
-JOB = {
-    "spec": "text",
-    "bestEffort": True,
-    "steps": [{"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 90}],
-}
-
 JSON_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -68,7 +34,7 @@
 
 
 def test_routing_table_finds_longest_prefix_of_host() -> None:
-    table = operator_record.decode(json.dumps(CONFIGURATION).encode())
+    table = operator_record.decode(json.dumps(samples.CONFIGURATION).encode())
     assert table.version == 7
     queue = table.find("a.example:8161", "/a/b/00")
     assert queue is not None
@@ -79,7 +45,7 @@
 
 
 def test_heartbeat_is_decoded() -> None:
-    body = json.dumps(HEARTBEAT).encode()
+    body = json.dumps(samples.HEARTBEAT).encode()
     registration = heartbeats.decode("i-1", body)
     assert registration.capacity == work.Size(16_000, 32_768, 0)
     assert registration.incarnation == 99
@@ -101,16 +67,16 @@
     ],
 )
 def test_heartbeat_with_invalid_field_is_refused(change: Any) -> None:
-    body = json.dumps({**HEARTBEAT, **change}).encode()
+    body = json.dumps({**samples.HEARTBEAT, **change}).encode()
     with pytest.raises(hosting.UnusableRecord):
         heartbeats.decode("i-1", body)
 
 
-@given(JSON_VALUES, strategies.sampled_from(sorted(HEARTBEAT)))
+@given(JSON_VALUES, strategies.sampled_from(sorted(samples.HEARTBEAT)))
 def test_heartbeat_with_any_value_is_decoded_or_refused(
     value: Any, name: str
 ) -> None:
-    body = json.dumps({**HEARTBEAT, name: value}).encode()
+    body = json.dumps({**samples.HEARTBEAT, name: value}).encode()
     try:
         heartbeats.decode("i-1", body)
     except hosting.UnusableRecord:
@@ -124,7 +90,7 @@
 def test_configuration_with_any_value_is_decoded_or_refused(
     value: Any, name: str
 ) -> None:
-    record = json.dumps({**CONFIGURATION, name: value}).encode()
+    record = json.dumps({**samples.CONFIGURATION, name: value}).encode()
     try:
         operator_record.decode(record)
     except hosting.UnusableRecord:
@@ -139,7 +105,7 @@
 
 
 def test_job_is_decoded() -> None:
-    job = callers.decode("0" * 16, json.dumps(JOB).encode(), 1_900)
+    job = callers.decode("0" * 16, json.dumps(samples.JOB).encode(), 1_900)
     assert job.payload == "text"
     assert job.wait_ms == 1_900
     assert job.steps == (work.Step(2, work.Size(500, 64, 0), 90),)
@@ -156,7 +122,9 @@
 )
 def test_unsupported_job_is_refused_as_not_run(change: Any) -> None:
     with pytest.raises(errors.Error) as raised:
-        callers.decode("0" * 16, json.dumps({**JOB, **change}).encode(), 1)
+        callers.decode(
+            "0" * 16, json.dumps({**samples.JOB, **change}).encode(), 1
+        )
     assert raised.value.ran is errors.Ran.NO
     assert errors.REPORTS_BY_KIND[raised.value.kind].status == 503
 
@@ -177,7 +145,9 @@
 )
 def test_malformed_job_is_refused(change: Any) -> None:
     with pytest.raises(hosting.UnusableRecord):
-        callers.decode("0" * 16, json.dumps({**JOB, **change}).encode(), 1)
+        callers.decode(
+            "0" * 16, json.dumps({**samples.JOB, **change}).encode(), 1
+        )
 
 
 def test_refused_request_is_logged_with_its_job_id(
@@ -198,7 +168,7 @@
     with pytest.raises(errors.Error, match="no configuration"):
         handler.handle(request)
     scheduler.routing_table = operator_record.decode(
-        json.dumps(CONFIGURATION).encode()
+        json.dumps(samples.CONFIGURATION).encode()
     )
     request = requests.Request(
         {
--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -13,6 +13,7 @@
 import fakeplatform
 import fakeworker
 import hostedprocesses
+import samples
 from sardineroute_core import codec
 from sardineroute_core import errors
 from sardineroute_core import hosting
@@ -107,20 +108,6 @@
     return False
 
 
-HEARTBEAT = {
-    "service": "s",
-    "address": "10.0.0.1:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "coldRemainingMs": 0,
-    "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "clockMs": 482_113,
-    "sequence": 4,
-    "born": 99,
-}
 _HEARTBEAT_CHECKS: dict[Path, Callable[[Any], bool]] = {
     ("service",): _is_name,
     ("address",): _is_never_right,
@@ -140,18 +127,6 @@
     ("sequence",): _is_amount,
     ("born",): _is_amount,
 }
-ROUTE = {
-    "name": "r-1",
-    "hostname": "a.example",
-    "pathPrefix": "/a/",
-    "timeoutMs": 1500,
-    "targetLatencyMs": 60,
-    "priority": 2,
-    "service": "s",
-    "maxAttempts": 3,
-    "stretch": 1.6,
-}
-CONFIGURATION = {"version": 7, "routes": [ROUTE], "services": [{"name": "s"}]}
 _CONFIGURATION_CHECKS: dict[Path, Callable[[Any], bool]] = {
     ("version",): _is_amount,
     ("routes",): _is_empty_list,
@@ -169,18 +144,15 @@
     },
     ("routes", 0, "stretch"): _is_number_or_missing,
 }
-STEP = {
-    "count": 2,
-    "cpu": 500,
-    "memMb": 64,
+_STEP = {
+    **samples.STEP,
     "gpu": 0,
-    "estimateMs": 90,
     "after": [],
     "requires": "a",
     "affinity": "r1",
     "antiAffinity": 0,
 }
-JOB = {"spec": "text", "bestEffort": True, "steps": [STEP]}
+_JOB = {**samples.JOB, "steps": [_STEP]}
 _JOB_CHECKS: dict[Path, Callable[[Any], bool]] = {
     ("spec",): _is_text_or_missing,
     ("bestEffort",): lambda value: value is True,
@@ -296,7 +268,7 @@
 # sender has left out or written as another type.
 def test_each_field_of_a_heartbeat_is_checked() -> None:
     assert not list(
-        _wrongly_taken(HEARTBEAT, _HEARTBEAT_CHECKS, _decode_heartbeat)
+        _wrongly_taken(samples.HEARTBEAT, _HEARTBEAT_CHECKS, _decode_heartbeat)
     )
 
 
@@ -305,7 +277,7 @@
 )
 def test_id_that_no_header_can_hold_is_refused(worker_id: str) -> None:
     with pytest.raises(hosting.UnusableRecord):
-        heartbeats.decode(worker_id, json.dumps(HEARTBEAT).encode())
+        heartbeats.decode(worker_id, json.dumps(samples.HEARTBEAT).encode())
 
 
 # Guards against routes that vanish, or requests that end in an error, by a
@@ -313,7 +285,7 @@
 def test_each_field_of_a_configuration_is_checked() -> None:
     assert not list(
         _wrongly_taken(
-            CONFIGURATION, _CONFIGURATION_CHECKS, operator_record.decode
+            samples.CONFIGURATION, _CONFIGURATION_CHECKS, operator_record.decode
         )
     )
 
@@ -336,7 +308,7 @@
             )
         )
 
-    assert not list(_wrongly_taken(JOB, _JOB_CHECKS, decode))
+    assert not list(_wrongly_taken(_JOB, _JOB_CHECKS, decode))
 
 
 # Guards against a sidecar that ends by itself.
@@ -477,6 +449,27 @@
     assert ("10.0.0.1", 7) in discovery.decode(hosting.Batch((record, good), 2))
 
 
+@pytest.fixture
+def worker() -> fakeworker.FakeWorker:
+    """A worker that runs each task for 50 ms."""
+    return fakeworker.FakeWorker()
+
+
+@pytest.fixture
+def fleet(
+    tmp_path: pathlib.Path, worker: fakeworker.FakeWorker
+) -> Iterator[hostedprocesses.Fleet]:
+    """A ready entry, a sidecar and a worker."""
+    with fakeplatform.serve() as platform:
+        platform.append("keyed.op", "config", hostedprocesses.configuration(3))
+        fleet = hostedprocesses.Fleet(platform, tmp_path, 1, [worker])
+        try:
+            fleet.start()
+            yield fleet
+        finally:
+            fleet.close()
+
+
 # Guards against a sidecar that loses its streams by a heartbeat.
 @pytest.mark.parametrize(
     ("worker_id", "changes"),
@@ -490,39 +483,19 @@
     ],
 )
 def test_odd_heartbeat_is_refused_and_leaves_the_worker(
-    tmp_path: pathlib.Path, worker_id: str, changes: Any
+    fleet: hostedprocesses.Fleet, worker_id: str, changes: Any
 ) -> None:
-    worker = fakeworker.FakeWorker()
-    step = {"count": 1, "cpu": 1_000, "memMb": 10, "estimateMs": 50}
-    job = {"spec": "text", "bestEffort": True, "steps": [step]}
-    with fakeplatform.serve() as platform:
-        platform.append("keyed.op", "config", hostedprocesses.configuration(3))
-        fleet = hostedprocesses.Fleet(platform, tmp_path, 1, [worker])
-        try:
-            fleet.start()
-            assert fleet.send_heartbeat(0, worker_id, **changes) == 400
-            assert fleet.submit("0" * 16, job).status == 200
-            assert "Traceback" not in fleet.output("sidecar-0")
-        finally:
-            fleet.close()
+    assert fleet.send_heartbeat(0, worker_id, **changes) == 400
+    assert fleet.submit("0" * 16, samples.JOB).status == 200
+    assert "Traceback" not in fleet.output("sidecar-0")
 
 
 def test_job_with_half_a_surrogate_pair_is_refused(
-    tmp_path: pathlib.Path,
+    fleet: hostedprocesses.Fleet, worker: fakeworker.FakeWorker
 ) -> None:
-    worker = fakeworker.FakeWorker()
-    step = {"count": 1, "cpu": 1_000, "memMb": 10, "estimateMs": 50}
-    job = {"spec": "text", "bestEffort": True, "steps": [step]}
-    with fakeplatform.serve() as platform:
-        platform.append("keyed.op", "config", hostedprocesses.configuration(3))
-        fleet = hostedprocesses.Fleet(platform, tmp_path, 1, [worker])
-        try:
-            fleet.start()
-            odd = {**job, "spec": f"a{_HALF_PAIR}"}
-            response = fleet.submit("0" * 16, odd)
-            assert response.status == 400
-            assert "character 1" in response.json()["detail"]
-            assert fleet.submit("1" * 16, job).status == 200
-            assert worker.starts[0].task == work.TaskId("1" * 16, 0, 0)
-        finally:
-            fleet.close()
+    odd = {**samples.JOB, "spec": f"a{_HALF_PAIR}"}
+    response = fleet.submit("0" * 16, odd)
+    assert response.status == 400
+    assert "character 1" in response.json()["detail"]
+    assert fleet.submit("1" * 16, samples.JOB).status == 200
+    assert worker.starts[0].task == work.TaskId("1" * 16, 0, 0)
