--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -36,7 +36,8 @@
 SERVICE = "counter"
 _ZONE = "zone-1"
 _FRONT, _CONTROL, _READY = 8161, 8166, 8167
-_INTERNAL, _METRICS, _APP, _STORE = 7720, 9464, 8080, 8169
+INTERNAL_PORT = 7720
+_METRICS, _APP, _STORE = 9464, 8080, 8169
 _SETTINGS_PATH = "/etc/sardineroute/node.json"
 _START_TIMEOUT_S = 25.0
 
@@ -85,6 +86,8 @@
         self.links = links_module.Links()
         self.store = store_module.Store(f"{self._net}.9:{_STORE}")
         self._version = 0
+        # As many seeds as the platform names at most; entries serve `control`.
+        self._seeds = (21, 22, 23)
         self._route = {
             "name": "q-1",
             "hostname": HOST,
@@ -98,6 +101,10 @@
         } | (route or {})
         self.configure()
 
+    def use_stale_seeds(self) -> None:
+        """Makes the seeds name machines where no entry runs any more."""
+        self._seeds = (31, 32, 33)
+
     def configure(self, **changes: Any) -> None:
         """Writes the next configuration, with changes of the route."""
         self._version += 3
@@ -123,10 +130,14 @@
         number = len(self._entries) + 1
         own, link = f"{self._net}.1{number}", f"{self._net}.2{number}"
         self._entries[name] = own
-        self.links.open(name, f"{link}:{_INTERNAL}", f"{own}:{_INTERNAL}")
+        self.links.open(
+            name, f"{link}:{INTERNAL_PORT}", f"{own}:{INTERNAL_PORT}"
+        )
         fields = self._fields(name, "entry", own)
         text = self._render("entry", fields).replace(
-            "streams:\n", f'streams:\n  advertise: "{link}:{_INTERNAL}"\n', 1
+            "streams:\n",
+            f'streams:\n  advertise: "{link}:{INTERNAL_PORT}"\n',
+            1,
         )
         self._start_program(name, "entry", text)
 
@@ -322,8 +333,7 @@
         }
 
     def _fields(self, name: str, role: str, ip: str) -> dict[str, Any]:
-        # As many seeds as the platform names at most; entries serve `control`.
-        seeds = [f"{self._net}.2{number}:{_CONTROL}" for number in (1, 2, 3)]
+        seeds = [f"{self._net}.{last}:{_CONTROL}" for last in self._seeds]
         return {
             "node": name,
             "role": role,
@@ -334,7 +344,7 @@
                 "ready": f"{ip}:{_READY}",
                 "control": f"{ip}:{_CONTROL}",
             },
-            "internalPorts": [_INTERNAL, _INTERNAL + 15],
+            "internalPorts": [INTERNAL_PORT, INTERNAL_PORT + 15],
             "seeds": seeds,
             "bounds": {"farFactor": 1.5},
             "platform": {"address": self.store.address},
@@ -452,7 +462,7 @@
                 (9, _STORE),
                 (11, _FRONT),
                 (11, _METRICS),
-                (21, _INTERNAL),
+                (21, INTERNAL_PORT),
                 (101, _APP),
                 (101, _CONTROL),
             )
