--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -180,6 +180,34 @@
             f"runner-{machine}", [sys.executable, str(program), str(path)], {}
         )
 
+    def send_heartbeat(self, sender: str, machine: str, **changes: Any) -> int:
+        """Sends a heartbeat in the name of a runner; returns the status.
+
+        It is like the runner's last one but for the changes.
+        """
+        settings = self._runner_settings[machine]
+        last = [
+            row
+            for row in self.runner_events()
+            if row["event"] == "heartbeat" and row["who"] == settings["id"]
+        ][-1]
+        body = last["body"] | changes
+        self.note(sender, f"heartbeat of {settings['id']} {json.dumps(body)}")
+        host, _, port = settings["control"].rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=1.0)
+        try:
+            connection.request(
+                "POST",
+                f"/v1/instances/{settings['id']}/heartbeat",
+                json.dumps(body),
+                {"Content-Type": "application/json"},
+            )
+            status = connection.getresponse().status
+        finally:
+            connection.close()
+        self.note(sender, f"heartbeat answered {status}")
+        return status
+
     def kill(self, name: str, number: signal.Signals = signal.SIGKILL) -> None:
         """Sends a signal to a process that this case started."""
         process = self._processes[name]
@@ -308,7 +336,7 @@
             details = {
                 key: value
                 for key, value in row.items()
-                if key not in ("t", "who", "event")
+                if key not in ("t", "who", "event", "body")
             }
             self.note(
                 f"runner {row['who']}",
--- a/review/standins_2/runner.py
+++ b/review/standins_2/runner.py
@@ -229,11 +229,12 @@
         connection = http.client.HTTPConnection(
             host, int(port), timeout=_BEAT_TIMEOUT_S
         )
+        body = runner.beat()
         try:
             connection.request(
                 "POST",
                 path,
-                json.dumps(runner.beat()),
+                json.dumps(body),
                 {"Content-Type": "application/json"},
             )
             status = connection.getresponse().status
@@ -241,7 +242,7 @@
             status = 0
         finally:
             connection.close()
-        runner.note("heartbeat", status=status)
+        runner.note("heartbeat", status=status, body=body)
         time.sleep(settings["beatMs"] / 1_000)
 
 
