--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -31,6 +31,10 @@
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
 
+# Bounds of the users' sheet.
+CANCEL_MS = 3_000
+CONTACT_MS = 3_000
+
 HOST = "counter.example"
 PREFIX = "/receipts/"
 SERVICE = "counter"
@@ -313,6 +317,33 @@
             if row["event"] == "start" and row["task"].startswith(job)
         ]
 
+    def describe_late_starts(
+        self, job: str, answer: Answer, calm_from_s: float = 0.0
+    ) -> str:
+        """Returns how a cancelled job was started too late; empty if not.
+
+        Args:
+            job: The job's id.
+            answer: The answer to its DELETE. One that doesn't acknowledge the
+                cancellation allows any start.
+            calm_from_s: The Unix time from which starts count.
+        """
+        if not 200 <= answer.status < 300:
+            return ""
+        allowed_until_s = answer.answered_s + CANCEL_MS / 1_000
+        late = [
+            row["t"]
+            for row in self.starts(job)
+            if row["t"] > max(allowed_until_s, calm_from_s)
+        ]
+        if not late:
+            return ""
+        after_s = late[0] - answer.answered_s
+        return (
+            f"{len(late)} tasks of {job} were started, the first "
+            f"{after_s:.1f} s after its cancelling was acknowledged"
+        )
+
     def wait_for(self, condition: Callable[[], Any], what: str) -> None:
         """Waits until a condition of the set-up holds."""
         end_s = time.monotonic() + _START_TIMEOUT_S
