Evacuate and return failure domains, in both ways of a job

A worker that came back was filled at once. Change: entries fold the operator's records into a statement that its position in the stream orders, and pass it on to entries and sidecars; the sidecar refuses starts and returns what waits; a job that only such workers could run is refused at once; a returned or cold worker has a slow start. The product's own fleet has evacuated_domains in its configuration, guarded by the same compare-and-set, and two commands. Tests of the touched modules pass; the whole suite was not run yet.

--- a/packages/cli/src/sardineroute/main.py
+++ b/packages/cli/src/sardineroute/main.py
@@ -9,6 +9,7 @@
 from sardineroute import config_commands
 from sardineroute import config_queries
 from sardineroute import context
+from sardineroute import evacuation_commands
 from sardineroute import fleet_commands
 from sardineroute import fleet_queries
 from sardineroute import job_commands
@@ -39,7 +40,12 @@
     config_commands.app,
     config_queries.app,
 )
-_add_group("fleet", "Show entries and sidecars.", fleet_queries.app)
+_add_group(
+    "fleet",
+    "Show entries and sidecars, evacuate failure domains.",
+    fleet_queries.app,
+    evacuation_commands.app,
+)
 _add_group("trace", "Show the spans of finished jobs.", trace_queries.app)
 app.command()(fleet_commands.drain)
 
--- a/packages/core/src/sardineroute_core/codec.py
+++ b/packages/core/src/sardineroute_core/codec.py
@@ -73,6 +73,7 @@
     75: runmessages.WorkerCrash,
     76: runmessages.Crashes,
     77: runmessages.ConfinedQueues,
+    78: runmessages.Evacuations,
 }
 _CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
 _FIELDS_BY_CLASS = {
--- a/packages/core/src/sardineroute_core/configuration.py
+++ b/packages/core/src/sardineroute_core/configuration.py
@@ -18,6 +18,7 @@
 from sardineroute_core import policy
 
 _Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+_MAX_DOMAINS = 64
 _Weight = Annotated[float, pydantic.Field(gt=0, le=1_000)]
 _Count = Annotated[int, pydantic.Field(ge=0, le=10_000_000)]
 _TimeoutMs = Annotated[int, pydantic.Field(ge=1, le=600_000)]
@@ -26,6 +27,19 @@
 ]
 
 
+def _check_distinct(names: tuple[str, ...]) -> tuple[str, ...]:
+    if len(set(names)) < len(names):
+        raise ValueError("a failure domain is named twice")
+    return names
+
+
+_Domains = Annotated[
+    tuple[_Name, ...],
+    pydantic.Field(max_length=_MAX_DOMAINS),
+    pydantic.AfterValidator(_check_distinct),
+]
+
+
 class InvalidDocument(Exception):
     """Raised for an invalid document; its text has one line per error."""
 
@@ -79,6 +93,7 @@
 class _Document(_Section):
     dispatch: _Dispatch = "fastest"
     max_task_timeout_ms: Annotated[int, pydantic.Field(ge=0)] = 0
+    evacuated_domains: _Domains = ()
     teams: dict[_Name, dict[str, Any]] = {}
 
 
@@ -170,6 +185,7 @@
         version=version,
         dispatch=parsed.dispatch,
         max_task_timeout_ms=parsed.max_task_timeout_ms,
+        evacuated_domains=parsed.evacuated_domains,
         teams_by_name=types.MappingProxyType(teams_by_name),
     )
 
--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -122,6 +122,8 @@
         draining: Whether the worker is about to leave and takes no new runs.
         clock_ms: The worker's clock; None if the heartbeat has none.
         address: Where the worker says that it accepts calls; for the log.
+        cold_remaining_ms: How much longer the worker says that it is slow
+            after its start.
     """
 
     id: str
@@ -133,6 +135,7 @@
     draining: bool
     clock_ms: int | None
     address: str = ""
+    cold_remaining_ms: int = 0
 
     @property
     def instance_key(self) -> tuple[str, int]:
@@ -237,10 +240,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """Records read from a stream; the next read starts at `next_offset`."""
+    """Records read from a stream; the next read starts at `next_offset`.
+
+    `is_complete` is false if some records could not be read.
+    """
 
     records: tuple[Record, ...]
     next_offset: int
+    is_complete: bool = True
 
 
 class RecordStore(Protocol):
@@ -265,6 +272,20 @@
         """Appends a record; an empty value deletes the key."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationRequest:
+    """An operator's request about a failure domain.
+
+    Attributes:
+        domain: Name of the failure domain.
+        is_evacuated: Whether nothing may start there; None if the request is
+            malformed, so that it changes nothing.
+    """
+
+    domain: str
+    is_evacuated: bool | None
+
+
 CONFIGURATION_STREAM = "configuration"
 ENTRIES_STREAM = "entries"
 WORKERS_STREAM = "workers"
@@ -279,6 +300,9 @@
         record_store: Returns a client of the store at an address.
         routing_table: Decodes the operator's record; raises
             `UnusableRecord`.
+        evacuation_request: Decodes a record of the configuration stream;
+            returns None if it is about something else, and raises
+            `UnusableRecord` if it names no failure domain.
         callers: Returns the HTTP handler of the callers' requests.
         workers: Returns the HTTP handler of the worker's requests to its
             sidecar.
@@ -288,6 +312,7 @@
     worker_client: Callable[[str], WorkerClient]
     record_store: Callable[[str], RecordStore]
     routing_table: Callable[[bytes], routing.Table]
+    evacuation_request: Callable[[Record], EvacuationRequest | None]
     callers: Callable[..., Any]
     workers: Callable[..., Any]
     readiness: Callable[..., Any]
--- a/packages/core/src/sardineroute_core/metrics.py
+++ b/packages/core/src/sardineroute_core/metrics.py
@@ -22,6 +22,10 @@
     "sardineroute_configuration_unreadable",
     "1 if a newer published version can't be read by this process, else 0.",
 )
+_EVACUATED_DOMAINS = prometheus_client.Gauge(
+    "sardineroute_evacuated_domains",
+    "Failure domains that are evacuated, as far as this process knows.",
+)
 _counters_by_label: dict[tuple[str, str], prometheus_client.Counter] = {}
 _bytes_by_type: dict[str, prometheus_client.Counter] = {}
 
@@ -50,6 +54,11 @@
     _CONFIGURATION_UNREADABLE.set(int(unreadable))
 
 
+def set_evacuated_domains(count: int) -> None:
+    """Sets the number of failure domains that are evacuated."""
+    _EVACUATED_DOMAINS.set(count)
+
+
 def exposition() -> bytes:
     """Returns all metrics in the Prometheus text format."""
     return prometheus_client.generate_latest()
--- a/packages/core/src/sardineroute_core/policy.py
+++ b/packages/core/src/sardineroute_core/policy.py
@@ -70,12 +70,14 @@
         dispatch: Name of the dispatch policy, one of `DISPATCH_NAMES`.
         max_task_timeout_ms: Upper bound on the timeout of any task; 0 if only
             the bound in the sidecar's settings applies.
+        evacuated_domains: The failure domains where nothing may start.
         teams_by_name: The teams that have a section.
     """
 
     version: int = 0
     dispatch: str = "fastest"
     max_task_timeout_ms: int = 0
+    evacuated_domains: tuple[str, ...] = ()
     teams_by_name: Mapping[str, TeamPolicy] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -211,6 +211,19 @@
     record: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuations:
+    """States which failure domains are evacuated: nothing starts there.
+
+    `domains` has the names of all of them. `position` orders the statements:
+    one replaces all that have a lower position. It is the offset up to which
+    the operator's records were read, or the version of the configuration.
+    """
+
+    position: int
+    domains: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelJob:
     """Cancels a job; a sidecar forwards it to the entry of the job."""
--- a/packages/core/src/sardineroute_core/work.py
+++ b/packages/core/src/sardineroute_core/work.py
@@ -61,6 +61,14 @@
             self.gpus - other.gpus,
         )
 
+    def scaled(self, share: float) -> "Size":
+        """Returns a share of a size, rounded down."""
+        return Size(
+            int(self.cpu_millicores * share),
+            int(self.memory_mb * share),
+            int(self.gpus * share),
+        )
+
     def fits_in(self, capacity: "Size") -> bool:
         """Returns whether a task of this size fits in the free capacity."""
         return (
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -8,6 +8,7 @@
 from sardineroute_core import runmessages
 from sardineroute_core import streams
 from sardineroute_core import work
+from sardinerouted import evacuation
 from sardinerouted.dispatching import jobs
 from sardinerouted.dispatching import sidecars
 from sardinerouted.dispatching import subset
@@ -44,6 +45,7 @@
 
     Attributes:
         sidecars_by_id: The sidecars, connected or not.
+        evacuated: The failure domains where nothing may start.
         on_cancel: Called with the id of a job that another entry cancels.
         on_crashes: Called with the crashes of workers that a sidecar reports.
         on_confined_queues: Called with the queues that another entry confines.
@@ -59,6 +61,7 @@
         self._entry = entry
         self._on_run_end = on_run_end
         self.sidecars_by_id: dict[str, sidecars.Sidecar] = {}
+        self.evacuated = evacuation.EvacuatedDomains()
         self.on_cancel: Callable[[str], None] = lambda job_id: None
         self.on_crashes: Callable[[runmessages.Crashes], None] = (
             lambda message: None
@@ -96,6 +99,27 @@
         """Returns the number of sidecars that can take tasks."""
         return sum(1 for sidecar in self.all_sidecars() if sidecar.is_usable)
 
+    def apply_evacuations(
+        self, statement: runmessages.Evacuations, source: str
+    ) -> bool:
+        """Places nothing where the statement says, and tells the sidecars.
+
+        Args:
+            statement: The statement.
+            source: Where it came from, for the log.
+
+        Returns:
+            Whether a failure domain was evacuated or returned by it.
+        """
+        if not self.evacuated.apply(statement, source):
+            return False
+        for sidecar in self.all_sidecars():
+            sidecar.is_evacuated = sidecar.failure_domain in self.evacuated
+        self.broadcast(statement)
+        # Those that take over the work are followed from now on.
+        self._select_followed(self._clock.now_ms())
+        return True
+
     def broadcast(self, message: Any) -> None:
         """Sends a message to all connected sidecars."""
         for sidecar in self.all_sidecars():
@@ -115,6 +139,8 @@
         if restarted:
             self._detach_tasks(sidecar)
         sidecar.connect(connection)
+        if self.evacuated.is_known:
+            connection.send(self.evacuated.statement)
         known_crashes = self.crashes_at(peer.id)
         if known_crashes.crashes:
             connection.send(known_crashes)
@@ -240,6 +266,7 @@
                 self._reconcile_held_runs(sidecar, message)
         elif isinstance(message, runmessages.Worker):
             sidecar.update_worker(message)
+            sidecar.is_evacuated = message.failure_domain in self.evacuated
         elif isinstance(message, runmessages.CancelJob):
             self.on_cancel(message.job)
         elif isinstance(message, runmessages.Crashes):
--- a/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
@@ -26,6 +26,17 @@
 )
 
 
+_MOVED = prometheus_client.Counter(
+    "sardineroute_tasks_moved",
+    "Tasks sent elsewhere because a failure domain was evacuated.",
+)
+
+
+def count_moved() -> None:
+    """Counts a task that is sent elsewhere because of an evacuation."""
+    _MOVED.inc()
+
+
 def count_culprit(queue: str) -> None:
     """Counts a job that was given up because its tasks crash workers."""
     _CULPRITS.labels(queue).inc()
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -10,6 +10,9 @@
 from sardineroute_core import traces
 from sardineroute_core import work
 
+# A late job is worth finishing up to this multiple of its objective.
+_MAX_LATENESS_RATIO = 3.0
+
 
 class State(enum.StrEnum):
     """The state of a job as reported to callers."""
@@ -158,6 +161,15 @@
         """Returns whether the job has ended."""
         return self.state is not State.RUNNING
 
+    @property
+    def expiry_ms(self) -> int:
+        """Returns the time after which the job is not worth finishing."""
+        objective_duration_ms = self.objective_ms - self.received_ms
+        max_late_ms = self.received_ms + int(
+            _MAX_LATENESS_RATIO * objective_duration_ms
+        )
+        return min(max_late_ms, self.deadline_ms)
+
     @property
     def may_have_run(self) -> bool:
         """Returns whether any task may have started."""
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -64,6 +64,24 @@
     return sidecar.trouble >= _TROUBLE_LIMIT
 
 
+def can_run(sidecar: sidecars.Sidecar, task: jobs.Task) -> bool:
+    """Returns whether a worker meets a task's requirements.
+
+    It may be full, disconnected, or accept no tasks for the time being.
+    """
+    worker = sidecar.worker
+    step = task.step
+    if worker is None or worker.service != task.job.queue.service:
+        return False
+    if step.required_label and step.required_label not in worker.labels:
+        return False
+    return (
+        step.size.cpu_millicores <= worker.cpu_millicores
+        and step.size.memory_mb <= worker.memory_mb
+        and step.size.gpus <= worker.gpus
+    )
+
+
 def candidates(
     task: jobs.Task, fleet: Iterable[sidecars.Sidecar]
 ) -> list[sidecars.Sidecar]:
@@ -73,7 +91,7 @@
         sidecar
         for sidecar in fleet
         if sidecar.is_usable
-        and _meets_requirements(sidecar, task)
+        and can_run(sidecar, task)
         and _is_below_task_limit(sidecar, task, step.max_per_worker)
     ]
 
@@ -220,20 +238,6 @@
     )
 
 
-def _meets_requirements(sidecar: sidecars.Sidecar, task: jobs.Task) -> bool:
-    worker = sidecar.worker
-    step = task.step
-    if worker is None or worker.service != task.job.queue.service:
-        return False
-    if step.required_label and step.required_label not in worker.labels:
-        return False
-    return (
-        step.size.cpu_millicores <= worker.cpu_millicores
-        and step.size.memory_mb <= worker.memory_mb
-        and step.size.gpus <= worker.gpus
-    )
-
-
 def _is_below_task_limit(
     sidecar: sidecars.Sidecar, task: jobs.Task, max_per_worker: int
 ) -> bool:
--- a/packages/daemon/src/sardinerouted/dispatching/planning.py
+++ b/packages/daemon/src/sardinerouted/dispatching/planning.py
@@ -12,6 +12,10 @@
 # this share of the workers is lost or runs one of them.
 _MAX_EXPOSED_SHARE = 0.4
 
+NO_WORKER = "no worker can run the job"
+_EVACUATED = "all workers that can run the job are evacuated"
+_UNISOLATED = "a task may crash workers, and none is free to run it apart"
+
 
 class Planner:
     """Chooses a sidecar for each task, apart from those that it may harm.
@@ -76,6 +80,39 @@
                 sidecar.capacity.release_reserved()
         return choices
 
+    def why_impossible(self, job: jobs.Job) -> str:
+        """Returns why no worker may run a job; empty if one may.
+
+        That is so where workers could run a task but for an evacuation, which
+        lasts longer than callers wait.
+        """
+        fleet = self._fleet.all_sidecars()
+        for task in job.queued_tasks():
+            able = [one for one in fleet if placement.can_run(one, task)]
+            if able and all(one.is_evacuated for one in able):
+                return _EVACUATED
+        return ""
+
+    def why_unplaceable(
+        self,
+        job: jobs.Job,
+        choices: list[tuple[jobs.Task, placement.Choice]],
+        remaining_ms: int,
+    ) -> str:
+        """Returns why a job can't end in time; empty while it may.
+
+        That is so once a task that no worker may run now would end too late
+        even if it started at once.
+        """
+        placed = {task.id for task, _ in choices}
+        for task in job.queued_tasks():
+            if task.id not in placed and task.estimate_ms > remaining_ms:
+                is_suspect = self._suspects.is_suspect(task.id)
+                return _UNISOLATED if is_suspect else NO_WORKER
+        if len(choices) < len(job.queued_tasks()):
+            return self.why_impossible(job)
+        return ""
+
     def _choose_in_fleet(
         self, task: jobs.Task, now_ms: int
     ) -> placement.Choice | None:
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -25,8 +25,6 @@
 from sardinerouted.dispatching import stragglers
 from sardinerouted.dispatching import suspects as suspicion
 
-# A late job is worth finishing up to this multiple of its objective.
-_MAX_LATENESS_RATIO = 3.0
 _CHECK_INTERVAL_MS = 50
 # A pause of the process this long may have made callers disconnect or leases
 # expire.
@@ -61,8 +59,6 @@
 # have used.
 _RUN_NUMBER_STEP = 16
 
-_NO_WORKER = "no worker can run the job"
-_UNISOLATED = "a task may crash workers, and none is free to run it apart"
 _RUNS_LOST = "runs of a task were lost too often"
 _CONGESTED = "messages to the workers take too long"
 
@@ -285,7 +281,10 @@
         """
         choices = self._planner.plan(job)
         if len(choices) < len(job.queued_tasks()):
-            # `_check_job` tries again for a short while.
+            reason = self._planner.why_impossible(job)
+            if reason and self._clock.now_ms() >= self._warm_up_until_ms:
+                self._abort(job, reason)
+            # Otherwise `_check_job` tries again for a short while.
             return
         if any(
             choice.expected_wait_ms > 0 and not choice.is_on_time
@@ -422,6 +421,8 @@
             task.capacity_refusals += 1
         elif outcome is not work.Outcome.CRASHED:
             task.avoided_sidecar_ids |= {sidecar.id}
+        if sidecar.is_evacuated:
+            jobmetrics.count_moved()
         self._retry(task, outcome)
 
     def _retry(self, task: jobs.Task, outcome: work.Outcome) -> None:
@@ -453,7 +454,7 @@
             self._abort(job, "the caller has disconnected")
             return
         now_ms = self._clock.now_ms()
-        remaining_ms = self._expiry_ms(job) - now_ms
+        remaining_ms = job.expiry_ms - now_ms
         # Tasks that can't be placed are checked again until the deadline.
         choices = self._planner.plan(job)
         if any(
@@ -463,38 +464,12 @@
         ):
             self._withdraw(job, "no worker has capacity in time")
             return
-        reason = self._why_unplaceable(job, choices, remaining_ms)
+        reason = self._planner.why_unplaceable(job, choices, remaining_ms)
         if reason:
             self._withdraw(job, reason)
             return
         self._send_starts(choices)
 
-    def _why_unplaceable(
-        self,
-        job: jobs.Job,
-        choices: list[tuple[jobs.Task, placement.Choice]],
-        remaining_ms: int,
-    ) -> str:
-        """Returns why a job can't end in time; empty while it may.
-
-        That is so once a task that no worker may run now would end too late
-        even if it started at once.
-        """
-        placed = {task.id for task, _ in choices}
-        for task in job.queued_tasks():
-            if task.id not in placed and task.estimate_ms > remaining_ms:
-                is_suspect = self._suspects.is_suspect(task.id)
-                return _UNISOLATED if is_suspect else _NO_WORKER
-        return ""
-
-    def _expiry_ms(self, job: jobs.Job) -> int:
-        """Returns the time after which the job is not worth finishing."""
-        objective_duration_ms = job.objective_ms - job.received_ms
-        max_late_ms = job.received_ms + int(
-            _MAX_LATENESS_RATIO * objective_duration_ms
-        )
-        return min(max_late_ms, job.deadline_ms)
-
     def _check_job(
         self, job: jobs.Job, now_ms: int, is_congested: bool
     ) -> None:
@@ -529,12 +504,12 @@
             self._place_queued(job)
             return
         self._admit(job)
-        max_wait_ms = self._expiry_ms(job) - job.received_ms
+        max_wait_ms = job.expiry_ms - job.received_ms
         if now_ms >= self._warm_up_until_ms:
             objective_duration_ms = job.objective_ms - job.received_ms
             max_wait_ms = int(_NO_WORKER_WAIT_SHARE * objective_duration_ms)
         if not job.may_have_run and now_ms - job.received_ms > max_wait_ms:
-            self._abort(job, _NO_WORKER)
+            self._abort(job, planning.NO_WORKER)
 
     def _cancel_local(self, job_id: str) -> None:
         job = self._jobs_by_id.get(job_id)
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -38,6 +38,7 @@
         slowness: Ratio of measured run times to estimates.
         trouble: Score of recent failures and stuck runs; 0 is healthy.
         is_followed: Whether it reports each change of its load.
+        is_evacuated: Whether its failure domain is evacuated.
         lease_renewed_ms: When this entry's lease at the sidecar was last
             renewed.
     """
@@ -56,6 +57,7 @@
         self.slowness = 1.0
         self.trouble = 0
         self.is_followed = True
+        self.is_evacuated = False
         self.lease_renewed_ms = 0
         self._worker_lost_ms = -_MAX_RESTART_MS
         self._reported_ms = 0
@@ -71,6 +73,7 @@
             and self.capacity.is_known
             and self.worker is not None
             and self.worker.ready
+            and not self.is_evacuated
         )
 
     @property
@@ -83,6 +86,11 @@
             and self._clock.now_ms() - self._worker_lost_ms < _MAX_RESTART_MS
         )
 
+    @property
+    def failure_domain(self) -> str:
+        """Returns its failure domain; empty if it is unknown."""
+        return self.worker.failure_domain if self.worker else ""
+
     @property
     def report_age_ms(self) -> int:
         """Returns the age of the latest load report."""
--- a/packages/daemon/src/sardinerouted/entry/administration/admin_queries.py
+++ b/packages/daemon/src/sardinerouted/entry/administration/admin_queries.py
@@ -65,8 +65,10 @@
         _describe_entry(state, announcement)
         for announcement in state.entries_by_id.values()
     ]
+    evacuated = state.policy.current.evacuated_domains
     sidecars = [
-        _describe_sidecar(server) for server in state.servers_by_id.values()
+        _describe_sidecar(server, evacuated)
+        for server in state.servers_by_id.values()
     ]
     members = [
         _describe_self(state),
@@ -126,7 +128,9 @@
     )
 
 
-def _describe_sidecar(server: backends.BackendServer) -> Member:
+def _describe_sidecar(
+    server: backends.BackendServer, evacuated: tuple[str, ...]
+) -> Member:
     announcement = server.announcement
     return Member(
         id=server.id,
@@ -135,7 +139,7 @@
         region=announcement.region,
         incarnation=announcement.incarnation,
         address=f"{announcement.host}:{announcement.port}",
-        state=_sidecar_state(server),
+        state=_sidecar_state(server, evacuated),
         configuration_version=server.configuration_version,
         slots=announcement.slots,
         busy=round(server.load),
@@ -143,7 +147,11 @@
     )
 
 
-def _sidecar_state(server: backends.BackendServer) -> str:
+def _sidecar_state(
+    server: backends.BackendServer, evacuated: tuple[str, ...]
+) -> str:
     if server.connection is None:
         return "unreachable"
+    if server.announcement.failure_domain in evacuated:
+        return "evacuated"
     return "leaving" if server.leaving else "connected"
--- a/packages/daemon/src/sardinerouted/entry/fleet/distribution.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/distribution.py
@@ -6,6 +6,7 @@
 from sardineroute_core import logs
 from sardineroute_core import messages
 from sardineroute_core import policy
+from sardineroute_core import runmessages
 from sardinerouted.entry.fleet import configuration
 from sardinerouted.entry.placement import backends
 
@@ -65,6 +66,11 @@
         now_ms = self._clock.now_ms()
         if server.configure_sent_ms == 0:
             server.configure_sent_ms = now_ms
+            connection.send(
+                runmessages.Evacuations(
+                    current_policy.version, current_policy.evacuated_domains
+                )
+            )
             connection.send(
                 messages.Configure(
                     current_policy.version, current_policy.max_task_timeout_ms
--- a/packages/daemon/src/sardinerouted/entry/placement/dispatch.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/dispatch.py
@@ -41,6 +41,7 @@
     {
         messages.TaskOutcome.REFUSED_FULL,
         messages.TaskOutcome.REFUSED_CANCELED,
+        messages.TaskOutcome.REFUSED_LEAVING,
         messages.TaskOutcome.NEVER_SEEN,
     }
 )
@@ -93,7 +94,9 @@
         self._queue: queues.Queue = self._fair_queue
         self._policy_name = ""
         self._choose = choice.make_policy(choice.FASTEST, self._knowledge)
-        self._kind_index = kindindex.KindIndex(time, servers_by_id, self.health)
+        self._kind_index = kindindex.KindIndex(
+            time, servers_by_id, self.health, policy_holder
+        )
         self._withdrawals = withdrawals.Withdrawals(servers_by_id)
         self._starts_by_flow: dict[tuple[str, str], rates.Rate] = {}
         self._recheck_timer: asyncio.TimerHandle | None = None
--- a/packages/daemon/src/sardinerouted/entry/placement/kindindex.py
+++ b/packages/daemon/src/sardinerouted/entry/placement/kindindex.py
@@ -1,6 +1,11 @@
-"""A cache of the backend servers by kind and of their total slots."""
+"""A cache of the backend servers by kind and of their total slots.
+
+Servers in an evacuated failure domain are left out, so that the choice of one,
+admission and the shares of teams follow what remains of the fleet.
+"""
 
 from sardineroute_core import clock
+from sardineroute_core import policy
 from sardinerouted.entry.placement import backends
 from sardinerouted.entry.placement import health as healths
 
@@ -20,8 +25,10 @@
         time: clock.Clock,
         servers_by_id: dict[str, backends.BackendServer],
         health: healths.Health,
+        policy_holder: policy.PolicyHolder,
     ) -> None:
         self._clock = time
+        self._policy_holder = policy_holder
         self._servers_by_id = servers_by_id
         self._health = health
         self._servers_by_kind: dict[str, list[backends.BackendServer]] = {}
@@ -35,7 +42,7 @@
         if servers is None:
             servers = [
                 server
-                for server in self._servers_by_id.values()
+                for server in self._open_servers()
                 if kind in server.announcement.kinds
             ]
             for server in servers:
@@ -48,8 +55,7 @@
         self._invalidate_if_stale()
         if self._slots is None:
             self._slots = sum(
-                server.announcement.slots
-                for server in self._servers_by_id.values()
+                server.announcement.slots for server in self._open_servers()
             )
         return self._slots
 
@@ -58,6 +64,15 @@
         self._servers_by_kind.clear()
         self._slots = None
 
+    def _open_servers(self) -> list[backends.BackendServer]:
+        """Returns the servers outside of evacuated failure domains."""
+        evacuated = self._policy_holder.current.evacuated_domains
+        return [
+            server
+            for server in self._servers_by_id.values()
+            if server.announcement.failure_domain not in evacuated
+        ]
+
     def _invalidate_if_stale(self) -> None:
         now_ms = self._clock.now_ms()
         if now_ms - self._refreshed_ms > _MAX_AGE_MS:
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -23,6 +23,7 @@
 from sardinerouted import supervision
 from sardinerouted.dispatching import scheduler as schedulers
 from sardinerouted.hosted import discovery
+from sardinerouted.hosted import evacuation_records
 from sardinerouted.hosted import fleetview
 from sardinerouted.hosted import peers as entry_peers
 from sardinerouted.hosted import reload
@@ -81,7 +82,18 @@
         has_table.set()
         peers.broadcast_version(table)
 
+    def apply_records(batch: hosting.Batch, is_newest: bool) -> None:
+        fold = (
+            evacuation_records.apply_newest
+            if is_newest
+            else evacuation_records.apply_changes
+        )
+        known = scheduler.fleet.evacuated.statement
+        statement = fold(known, batch, adapter.evacuation_request)
+        peers.apply_evacuations(statement, "store")
+
     source = table_source.TableSource(store, adapter.routing_table, time, apply)
+    source.on_batch = apply_records
     peers.source = source
     scheduler.fleet.entry_count = lambda: len(peers.addresses())
 
--- a/packages/daemon/src/sardinerouted/hosted/fleetview.py
+++ b/packages/daemon/src/sardinerouted/hosted/fleetview.py
@@ -40,8 +40,13 @@
             _sidecar_member(sidecar)
             for sidecar in scheduler.fleet.all_sidecars()
         ]
+        evacuated = scheduler.fleet.evacuated.statement
         return responses.json_response(
-            {"members": [dataclasses.asdict(member) for member in members]}
+            {
+                "members": [dataclasses.asdict(member) for member in members],
+                "evacuated": list(evacuated.domains),
+                "evacuated_as_of": evacuated.position,
+            }
         )
 
     return [routes.Route("GET", "/v1/fleet", show_fleet)]
@@ -86,6 +91,8 @@
         return "unreachable"
     if sidecar.worker is None or not sidecar.worker.id:
         return "without worker"
+    if sidecar.is_evacuated:
+        return "evacuated"
     if not sidecar.worker.ready:
         return "leaving"
     return "in trouble" if sidecar.trouble else "connected"
--- a/packages/daemon/src/sardinerouted/hosted/peers.py
+++ b/packages/daemon/src/sardinerouted/hosted/peers.py
@@ -1,4 +1,7 @@
-"""Connections between entries, which share addresses and the routing table."""
+"""Connections between entries, which tell each other what they know.
+
+That is addresses, the routing table and evacuated failure domains.
+"""
 
 import asyncio
 from typing import Any
@@ -67,9 +70,26 @@
         for connection in self._connections:
             connection.send(runmessages.RoutingVersion(table.version))
 
+    def apply_evacuations(
+        self, statement: runmessages.Evacuations, source: str
+    ) -> None:
+        """Applies a statement about evacuations and passes on what is new.
+
+        Args:
+            statement: The statement.
+            source: Where it came from, for the log.
+        """
+        if not self._fleet.apply_evacuations(statement, source):
+            return
+        for connection in self._connections:
+            connection.send(statement)
+
     async def serve(self, connection: streams.Connection) -> None:
         """Handles the messages of another entry until it disconnects."""
         self._connections.add(connection)
+        # Precedes the routing table, without which an entry starts nothing.
+        if self._fleet.evacuated.is_known:
+            connection.send(self._fleet.evacuated.statement)
         connection.send(runmessages.Entries(self.addresses()))
         connection.send(runmessages.RoutingVersion(self._version()))
         try:
@@ -98,6 +118,8 @@
     ) -> None:
         if isinstance(message, runmessages.Entries):
             self.add_addresses(list(message.addresses))
+        elif isinstance(message, runmessages.Evacuations):
+            self.apply_evacuations(message, connection.peer.id)
         elif isinstance(message, runmessages.RoutingVersion):
             if message.version > self._version():
                 asyncio.get_running_loop().call_later(
--- a/packages/daemon/src/sardinerouted/hosted/table_source.py
+++ b/packages/daemon/src/sardinerouted/hosted/table_source.py
@@ -35,6 +35,8 @@
     Attributes:
         record: The operator's record of the active table, or None.
         on_change: Called with each newer table.
+        on_batch: Called with all records that were read, before their table is
+            applied, and whether they are the newest of all keys.
     """
 
     def __init__(
@@ -50,6 +52,9 @@
         self._reachable = True
         self.record: runmessages.RoutingRecord | None = None
         self.on_change = on_change
+        self.on_batch: Callable[[hosting.Batch, bool], None] = (
+            lambda batch, is_newest: None
+        )
 
     @property
     def version(self) -> int:
@@ -109,6 +114,7 @@
             batch = await asyncio.to_thread(
                 self._store.read, stream, offset, _READ_WAIT_MS
             )
+        self.on_batch(batch, offset is None)
         for record in batch.records:
             if record.key == _CONFIGURATION_KEY and record.value:
                 self.apply_record(record.value, "store")
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -10,10 +10,12 @@
 from sardineroute_core import clock
 from sardineroute_core import logs
 from sardineroute_core import messages
+from sardineroute_core import runmessages
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardineroute_core import takeover
 from sardineroute_core import traces
+from sardinerouted import evacuation
 from sardinerouted.sidecar import configuration
 from sardinerouted.sidecar import guard
 from sardinerouted.sidecar import runner
@@ -55,6 +57,7 @@
         self._run_tasks: set[asyncio.Task[None]] = set()
         self._busy = 0
         self._is_draining = False
+        self._evacuated = evacuation.EvacuatedDomains()
         taskmetrics.set_gauge_sources(
             lambda: self._busy, lambda: len(self._queue)
         )
@@ -64,6 +67,10 @@
         """Returns whether any entry is connected to this sidecar."""
         return bool(self._connections)
 
+    @property
+    def _is_evacuated(self) -> bool:
+        return self._process_options.failure_domain in self._evacuated
+
     async def handle(self, connection: streams.Connection) -> None:
         """Serves one entry until its connection is closed.
 
@@ -135,6 +142,8 @@
     ) -> None:
         if isinstance(message, messages.Configure):
             connection.send(self._configuration.apply(message))
+        elif isinstance(message, runmessages.Evacuations):
+            self._handle_evacuations(message, connection.peer.id)
         elif isinstance(message, messages.Leaving):
             self._unconfirmed_leaves.discard(connection)
             self._leave_confirmed.set()
@@ -142,6 +151,22 @@
             _log.info("Drain requested.", who=message.who)
             self._stopping.set()
 
+    def _handle_evacuations(
+        self, statement: runmessages.Evacuations, source: str
+    ) -> None:
+        """Returns the tasks that wait, once this host is evacuated."""
+        self._evacuated.apply(statement, source)
+        if not self._is_evacuated:
+            return
+        for queued in self._queue.clear():
+            queued.span.end("evacuated")
+            self._guard.forget(queued.start.task_id)
+            self._refuse(
+                queued.connection,
+                queued.start,
+                messages.TaskOutcome.REFUSED_LEAVING,
+            )
+
     def _make_description(self) -> messages.Describe:
         return messages.Describe(
             failure_domain=self._process_options.failure_domain,
@@ -155,7 +180,9 @@
     def _handle_start(
         self, connection: streams.Connection, start: messages.Start
     ) -> None:
-        if self._is_draining and self._guard.find(start.task_id) is None:
+        if (self._is_draining or self._is_evacuated) and self._guard.find(
+            start.task_id
+        ) is None:
             self._refuse(
                 connection, start, messages.TaskOutcome.REFUSED_LEAVING
             )
--- a/packages/daemon/src/sardinerouted/sidecar/taskqueue.py
+++ b/packages/daemon/src/sardinerouted/sidecar/taskqueue.py
@@ -41,6 +41,13 @@
         """
         return self._first.popleft() if self._first else self._others.popleft()
 
+    def clear(self) -> list[QueuedTask]:
+        """Removes and returns all tasks."""
+        removed = [*self._first, *self._others]
+        self._first.clear()
+        self._others.clear()
+        return removed
+
     def remove(self, task_ids: Collection[str]) -> list[QueuedTask]:
         """Removes and returns those of the given tasks that are queued."""
         removed = [
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -13,6 +13,7 @@
 from sardineroute_core import work
 from sardinerouted import crashes
 from sardinerouted import dialing
+from sardinerouted.worker import availability
 from sardinerouted.worker import executor
 from sardinerouted.worker import load
 from sardinerouted.worker import runtable
@@ -84,6 +85,9 @@
         self.executor.on_change = self._send_worker
         self._id = identity.id
         self.executor.on_crash = self._handle_own_crash
+        self._availability = availability.Availability(
+            time, self.executor, options.failure_domain, self._send_worker
+        )
         self._crashes = crashes.History(time)
         self._confined_queues = crashes.ConfinedQueues(time)
         self.executor.lease_end_of = self._lease_end_of
@@ -109,9 +113,7 @@
 
     def drain(self) -> None:
         """Refuses new runs from now on."""
-        self.executor.draining = True
-        self._send_worker()
-        self.executor.start_waiting()
+        self._availability.drain()
 
     async def check_sessions(self) -> None:
         """Stops runs whose lease expired and closes silent connections.
@@ -124,6 +126,7 @@
             for owner, session in list(self._sessions_by_owner.items()):
                 self._check_session(owner, session, now_ms)
             self.executor.check_liveness()
+            self._availability.update()
             if self.executor.runs.waiting():
                 self.executor.start_waiting()
 
@@ -277,6 +280,9 @@
             self.add_addresses(list(message.addresses))
         elif isinstance(message, runmessages.CancelJob):
             self._handle_cancel_job(message)
+        elif isinstance(message, runmessages.Evacuations):
+            source = session.connection.peer.id if session.connection else ""
+            self._availability.apply(message, source)
         elif isinstance(message, runmessages.Crashes):
             for crash in message.crashes:
                 self._handle_crash(crash)
@@ -327,6 +333,7 @@
     def _report_end(
         self, run: runtable.Run, outcome: work.Outcome, run_ms: int
     ) -> None:
+        self._availability.record_end(run, outcome, run_ms)
         task = run.ref.task
         message = runmessages.RunEnded(
             task.job,
--- a/packages/daemon/src/sardinerouted/worker/recall.py
+++ b/packages/daemon/src/sardinerouted/worker/recall.py
@@ -134,10 +134,12 @@
 def encode(registration: hosting.Registration) -> bytes:
     """Returns the stored form of a registration.
 
-    The heartbeat's sequence number and clock are left out, so that the record
-    changes only when the worker does.
+    What changes with each heartbeat is left out, so that the record changes
+    only when the worker does.
     """
-    stable = dataclasses.replace(registration, sequence=-1, clock_ms=None)
+    stable = dataclasses.replace(
+        registration, sequence=-1, clock_ms=None, cold_remaining_ms=0
+    )
     return _REGISTRATION_ADAPTER.dump_json(stable)
 
 
--- a/packages/daemon/src/sardinerouted/worker/runtable.py
+++ b/packages/daemon/src/sardinerouted/worker/runtable.py
@@ -76,6 +76,8 @@
 
     Attributes:
         capacity: The worker's total resources.
+        usable_share: Share of the capacity that runs may use. A run may use
+            more if there is no other.
         has_listing: Whether the worker has listed its runs.
         held_back_until_ms: Until when most runs may not start, because a
             suspect run has.
@@ -85,6 +87,7 @@
 
     def __init__(self) -> None:
         self.capacity = work.Size()
+        self.usable_share = 1.0
         self.has_listing = False
         self.held_back_until_ms = 0
         self.unknown_runs: frozenset[hosting.RunRef] = frozenset()
@@ -108,11 +111,13 @@
 
     @property
     def free(self) -> work.Size:
-        """Returns the resources that no run uses.
+        """Returns the resources that no run uses and that one may use.
 
-        Components are negative while a worker that has shrunk still has runs
-        beyond its capacity.
+        Components are negative while runs use more, such as those of a worker
+        that has shrunk.
         """
+        if self.usable_share < 1.0 and self._used != work.Size():
+            return self.capacity.scaled(self.usable_share).minus(self._used)
         return self.capacity.minus(self._used)
 
     @property
--- a/packages/daemon/src/sardinerouted/worker/workermetrics.py
+++ b/packages/daemon/src/sardinerouted/worker/workermetrics.py
@@ -35,6 +35,17 @@
 )
 
 
+_EVACUATION_REFUSALS = prometheus_client.Counter(
+    "sardineroute_evacuation_refusals",
+    "Starts refused because the failure domain of this host is evacuated.",
+)
+_USABLE_SHARE = prometheus_client.Gauge(
+    "sardineroute_worker_usable_share",
+    "Share of the worker's capacity in use; below 1 during its slow start.",
+)
+_USABLE_SHARE.set(1.0)
+
+
 def observe_start(wait_ms: int) -> None:
     """Records the wait of a run whose start was confirmed."""
     _WAIT_SECONDS.observe(wait_ms / 1_000)
@@ -62,6 +73,16 @@
     _EXPIRED_LEASES.inc()
 
 
+def count_evacuation_refusal() -> None:
+    """Counts a start that was refused because of an evacuation."""
+    _EVACUATION_REFUSALS.inc()
+
+
+def set_usable_share(share: float) -> None:
+    """Sets the share of the worker's capacity that runs may use."""
+    _USABLE_SHARE.set(share)
+
+
 def count_foreign_heartbeat() -> None:
     """Counts a heartbeat whose sender isn't the worker at the address."""
     _FOREIGN_HEARTBEATS.inc()
--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -273,6 +273,11 @@
         content = json.dumps(body).encode()
         return _status("POST", f"{url}/v1/instances/{path}", content)
 
+    def set_evacuated(self, zone: str, is_evacuated: bool) -> None:
+        """Evacuates a zone or takes it back, as the operator does."""
+        value = b"{}" if is_evacuated else b""
+        self._store.append("keyed.op", f"evacuate/{zone}", value)
+
     def submit(
         self, job_id: str, job: Any, traceparent: str = ""
     ) -> urllib3.BaseHTTPResponse:
@@ -303,7 +308,7 @@
         common = {
             "id": name,
             "adapter": "sardineroute_platform.adapter",
-            "failure_domain": "zone-1",
+            "failure_domain": f"zone-{int(name.rpartition('-')[2]) + 1}",
             "store": self._store.address,
             "seed_port": 1,
             "metrics": self.address(name, "metrics"),
--- a/tests/hostedrig.py
+++ b/tests/hostedrig.py
@@ -196,7 +196,7 @@
             "role": "sidecar",
             "adapter": "none",
             "id": f"sidecar-{number}",
-            "failure_domain": "zone-1",
+            "failure_domain": f"zone-{number + 1}",
             "store": "127.0.0.1:1",
             "seed_port": 1,
             "metrics": "127.0.0.1:1",
--- a/tests/offlinerig.py
+++ b/tests/offlinerig.py
@@ -63,8 +63,10 @@
         number: int,
         cpu_millicores: int,
         labels: tuple[str, ...],
+        failure_domain: str,
     ) -> None:
         self._rig = rig
+        self.failure_domain = failure_domain
         self.id = f"sidecar-{number}"
         self.cpu_millicores = cpu_millicores
         self.labels = labels
@@ -86,7 +88,7 @@
                 0,
                 self.labels,
                 True,
-                "zone-1",
+                self.failure_domain,
             ),
             runmessages.HeldRuns(held),
         )
@@ -171,11 +173,16 @@
         count: int,
         cpu_millicores: int = 4_000,
         labels: tuple[str, ...] = ("a",),
+        failure_domain: str = "zone-1",
     ) -> None:
         """Connects further sidecars with idle workers."""
         for _ in range(count):
             sidecar = FakeSidecar(
-                self, len(self.sidecars), cpu_millicores, labels
+                self,
+                len(self.sidecars),
+                cpu_millicores,
+                labels,
+                failure_domain,
             )
             self.sidecars.append(sidecar)
             await sidecar.connect()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import socket
+import time
 from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
@@ -226,6 +227,37 @@
     assert "bad_configuration" in refused.stderr
 
 
+def test_failure_domain_is_evacuated_and_returned(
+    operator_fleet: tuple[fleet_module.Fleet, Run], tmp_path: pathlib.Path
+) -> None:
+    running, run = operator_fleet
+    run_as_team = _make_runner(
+        running.secrets.team_tokens_by_name["anrc"],
+        *running.entry_urls_by_name.values(),
+    )
+    file = tmp_path / "job.json"
+    file.write_text(json.dumps({"kind": "receipt.issue", "tasks": TASKS}))
+    assert run("fleet", "evacuate", "domain-9").exit_code == errors.EXIT_USAGE
+    assert run("fleet", "return", "domain-1").exit_code == errors.EXIT_FAILED
+    evacuated = run("fleet", "evacuate", "domain-1")
+    assert evacuated.exit_code == 0, evacuated.stderr
+    assert "evacuated: domain-1" in evacuated.stdout
+    assert run("fleet", "evacuate", "domain-1").exit_code == errors.EXIT_FAILED
+    members = json.loads(run("fleet", "show", "--json").stdout)["members"]
+    states = {member["id"]: member["state"] for member in members}
+    assert states["sidecar-1"] == "evacuated"
+    # The index of servers may be 100 ms old.
+    time.sleep(0.2)
+    refused = run_as_team("job", "submit", str(file), "--key", "evacuated")
+    assert refused.exit_code == errors.EXIT_REFUSED
+    assert "cannot_run" in refused.stderr
+    returned = run("fleet", "return", "domain-1")
+    assert "evacuated: none" in returned.stdout
+    time.sleep(0.2)
+    served = run_as_team("job", "submit", str(file), "--key", "returned")
+    assert served.exit_code == 0, served.stderr
+
+
 def test_fleet_is_listed_and_a_sidecar_drained(
     operator_fleet: tuple[fleet_module.Fleet, Run],
 ) -> None:
