Soak: the operator evacuates and returns failure domains

Cause: the soak didn't know the new part; the product's own sidecar had no test as the last guard, and answered a returned task's first owner only. Change: requests in series beside the other faults; at the end of each soak a zone is evacuated while an entry and its sidecar are killed, and returned.

--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -159,12 +159,13 @@
         if not self._is_evacuated:
             return
         for queued in self._queue.clear():
+            task_id = queued.start.task_id
             queued.span.end("evacuated")
-            self._guard.forget(queued.start.task_id)
+            self._guard.forget(task_id)
+            # The task's owner may have changed since it was queued.
+            owner = self._connections_by_task_id.pop(task_id, queued.connection)
             self._refuse(
-                queued.connection,
-                queued.start,
-                messages.TaskOutcome.REFUSED_LEAVING,
+                owner, queued.start, messages.TaskOutcome.REFUSED_LEAVING
             )
 
     def _make_description(self) -> messages.Describe:
--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -142,6 +142,10 @@
         """Returns the names of all processes."""
         return [*self._entries, *self._sidecars]
 
+    def zones(self) -> list[str]:
+        """Returns the zones of the sidecars."""
+        return [_zone(name) for name in self._sidecars]
+
     def address(self, name: str, listener: str) -> str:
         """Returns the address of a listener of a process."""
         key = f"{name}/{listener}"
@@ -308,7 +312,7 @@
         common = {
             "id": name,
             "adapter": "sardineroute_platform.adapter",
-            "failure_domain": f"zone-{int(name.rpartition('-')[2]) + 1}",
+            "failure_domain": _zone(name),
             "store": self._store.address,
             "seed_port": 1,
             "metrics": self.address(name, "metrics"),
@@ -339,6 +343,10 @@
         }
 
 
+def _zone(name: str) -> str:
+    return f"zone-{int(name.rpartition('-')[2]) + 1}"
+
+
 def _status(method: str, url: str, body: bytes = b"") -> int:
     try:
         return urllib3.request(
--- a/tests/hostedsoak.py
+++ b/tests/hostedsoak.py
@@ -27,6 +27,8 @@
 }
 _LINK_FAULTS = ("delay", "hold", "silence", "reset", "mend")
 _OTHER_FAULTS = ("start", "lose", "mute", "store")
+# Requests of the operator about a random failure domain.
+_OPERATOR_FAULTS = ("evacuate", "return")
 # Messages of other senders, lost heartbeats, workers that start again under
 # their id, and restarts of all sidecars in turn.
 _SENDER_FAULTS = ("foreign", "deregister", "unheard", "reborn", "roll")
@@ -56,6 +58,8 @@
 # jobs that proves it.
 _RECOVERY_TIMEOUT_S = 12.0
 _RECOVERY_JOBS = 8
+# Time from an operator's request to evacuate until the last start there.
+_EVACUATION_TIMEOUT_S = 2.0
 
 
 @dataclasses.dataclass
@@ -142,10 +146,32 @@
             self._inject_fault(fleet, store)
         self._clear_faults(fleet, store)
         self._wait_for_recovery()
+        self._check_evacuation(fleet)
         self._stopping.set()
         for thread in threads:
             thread.join()
 
+    def _check_evacuation(self, fleet: hostedprocesses.Fleet) -> None:
+        """Evacuates the first worker's zone; kills processes meanwhile."""
+        worker = self._workers[0]
+        fleet.set_evacuated(fleet.zones()[0], True)
+        time.sleep(_EVACUATION_TIMEOUT_S)
+        starts = len(worker.starts)
+        for name in (fleet.names()[0], fleet.names()[self._entries]):
+            fleet.signal(name, signal.SIGKILL)
+            time.sleep(self._random.uniform(0.0, 0.5))
+            fleet.start_process(name)
+        self._wait_for_recovery()
+        if len(worker.starts) > starts:
+            self._record_violation("a task starts in an evacuated zone")
+        fleet.set_evacuated(fleet.zones()[0], False)
+        end_s = time.monotonic() + _RECOVERY_TIMEOUT_S
+        while len(worker.starts) == starts:
+            if time.monotonic() > end_s:
+                self._record_violation("no task starts in a returned zone")
+                return
+            time.sleep(0.1)
+
     def _wait_for_recovery(self) -> None:
         served_before = self.report.answers["200"]
         end_s = time.monotonic() + _RECOVERY_TIMEOUT_S
@@ -165,6 +191,7 @@
                 *_SIGNALS_BY_KIND,
                 *_LINK_FAULTS,
                 *_OTHER_FAULTS,
+                *_OPERATOR_FAULTS,
                 *_SENDER_FAULTS,
             ]
         )
@@ -181,6 +208,9 @@
         elif kind == "store":
             store.status = self._random.choice([0, 503, 429])
             store.silent = self._random.random() < _SILENT_STORE_SHARE
+        elif kind in _OPERATOR_FAULTS:
+            zone = self._random.choice(fleet.zones())
+            fleet.set_evacuated(zone, kind == "evacuate")
         elif kind in _SENDER_FAULTS:
             self._inject_sender_fault(fleet, kind)
         else:
@@ -228,6 +258,8 @@
         store.status = 0
         store.silent = False
         fleet.links.clear_faults()
+        for zone in fleet.zones():
+            fleet.set_evacuated(zone, False)
         for name in fleet.names():
             fleet.signal(name, signal.SIGCONT)
             fleet.start_process(name)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import socket
 from typing import Any
 
 import pytest
@@ -17,11 +18,15 @@
 import offlinerig
 from sardineroute_core import clock
 from sardineroute_core import hosting
+from sardineroute_core import messages
 from sardineroute_core import runmessages
+from sardineroute_core import settings
+from sardineroute_core import streams
 from sardineroute_core import work
 from sardineroute_platform import operator_record
 from sardinerouted import evacuation
 from sardinerouted.hosted import evacuation_records
+from sardinerouted.sidecar import service
 from sardinerouted.worker import availability
 from sardinerouted.worker import executor
 from sardinerouted.worker import runtable
@@ -267,6 +272,83 @@
     asyncio.run(main())
 
 
+# Guards against starts of an entry that has an older configuration.
+def test_sidecar_of_the_products_own_fleet_is_the_last_guard() -> None:
+    async def main(port: int) -> None:
+        time = clock.FakeClock()
+        sidecar = service.Service(
+            _own_sidecar(port), time.clock(), asyncio.Event()
+        )
+        entry = streams.Identity("entry-1", messages.Role.ENTRY, "life-1")
+        connection: Any = offlinerig.FakeConnection(entry, time)
+        serving = asyncio.create_task(sidecar.handle(connection))
+        connection.deliver(_own_start("runs"), _own_start("waits"))
+        await offlinerig.settle()
+        connection.deliver(
+            runmessages.Evacuations(5, ("domain-1",)),
+            runmessages.Evacuations(4, ()),
+            _own_start("late"),
+        )
+        await offlinerig.settle()
+        assert _own_outcomes(connection) == {
+            "waits": messages.TaskOutcome.REFUSED_LEAVING,
+            "late": messages.TaskOutcome.REFUSED_LEAVING,
+        }
+        connection.deliver(
+            runmessages.Evacuations(6, ()), _own_start("returned")
+        )
+        await offlinerig.settle()
+        assert "returned" not in _own_outcomes(connection)
+        connection.abort()
+        with pytest.raises(streams.ConnectionLost):
+            await serving
+
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        asyncio.run(main(silent.getsockname()[1]))
+
+
+def _own_sidecar(port: int) -> settings.Sidecar:
+    return settings.Sidecar.model_validate(
+        {
+            "role": "sidecar",
+            "id": "sidecar-1",
+            "failure_domain": "domain-1",
+            "log": {"url": "http://127.0.0.1:1"},
+            "http": "127.0.0.1:0",
+            "streams": {"listen": "127.0.0.1:0", "secret": "s" * 16},
+            "backend_server": {
+                "url": f"http://127.0.0.1:{port}",
+                "kinds": ["receipt.issue"],
+                "slots": 1,
+                "queue": 4,
+            },
+        }
+    )
+
+
+def _own_start(task_id: str) -> messages.Start:
+    return messages.Start(
+        task_id=task_id,
+        partition=0,
+        epoch=1,
+        attempt=1,
+        valid_until_ms=2**40,
+        digest=task_id.encode(),
+        kind="receipt.issue",
+        payload=b"{}",
+        timeout_ms=300,
+        traceparent="",
+    )
+
+
+def _own_outcomes(connection: Any) -> dict[str, messages.TaskOutcome]:
+    return {
+        message.task_id: messages.TaskOutcome(message.outcome)
+        for message in connection.sent
+        if isinstance(message, messages.Result)
+    }
+
+
 def test_slow_start_of_a_sound_worker_follows_its_runs() -> None:
     slow_start = slowstart.SlowStart()
     assert slow_start.share(0) == 1.0
