--- a/tests/hostedsoak.py
+++ b/tests/hostedsoak.py
@@ -159,6 +159,7 @@
         starts = len(worker.starts)
         for name in (fleet.names()[0], fleet.names()[self._entries]):
             fleet.signal(name, signal.SIGKILL)
+            fleet.processes_by_name[name].wait()
             time.sleep(self._random.uniform(0.0, 0.5))
             fleet.start_process(name)
         self._wait_for_recovery()
