Runs wait where they are on time; packed payloads; a stopping entry refuses

Change: the sidecar forecasts when waiting runs start; it keeps one that is on time there and sends it back while it can be on time elsewhere. A task with fewer than two other workers to start on may wait. Near ends are one row of a load report, and an end is reported with the load at most every 24 ms. A stopping entry refuses jobs that it couldn't finish.

--- a/packages/core/src/sardineroute_core/codec.py
+++ b/packages/core/src/sardineroute_core/codec.py
@@ -82,7 +82,7 @@
 }
 # Defaults of fields that were added at the end of a message.
 _DEFAULTS_BY_CLASS: dict[type[Any], tuple[Any, ...]] = {
-    runmessages.StartRun: (False,),
+    runmessages.StartRun: (False, b""),
 }
 _TYPES_BY_CLASS: dict[type[Any], tuple[Any, ...]] = {
     cls: tuple(
--- a/packages/core/src/sardineroute_core/routing.py
+++ b/packages/core/src/sardineroute_core/routing.py
@@ -48,11 +48,20 @@
         version: Rises with each change.
         queues_by_host: The queues of each host, longest path prefix first.
         services: Names of the services.
+        priorities_by_service: The priorities of each service's queues, most
+            urgent first.
     """
 
     version: int
     queues_by_host: Mapping[str, tuple[Queue, ...]]
     services: frozenset[str]
+    priorities_by_service: Mapping[str, tuple[int, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def priorities(self, service: str) -> tuple[int, ...]:
+        """Returns the priorities of a service's queues, most urgent first."""
+        return self.priorities_by_service.get(service, ())
 
     def find(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching prefix, or None."""
@@ -68,8 +77,11 @@
 ) -> Table:
     """Returns a routing table of the queues, sorted by path prefix."""
     queues_by_host: dict[str, list[Queue]] = {}
+    priorities_by_service: dict[str, set[int]] = {}
     for queue in queues:
         queues_by_host.setdefault(queue.hostname, []).append(queue)
+        priorities = priorities_by_service.setdefault(queue.service, set())
+        priorities.add(queue.priority)
     for host_queues in queues_by_host.values():
         host_queues.sort(key=lambda queue: -len(queue.path_prefix))
     return Table(
@@ -79,4 +91,8 @@
             for host, host_queues in queues_by_host.items()
         },
         services,
+        {
+            service: tuple(sorted(priorities))
+            for service, priorities in priorities_by_service.items()
+        },
     )
--- a/packages/core/src/sardineroute_core/runmessages.py
+++ b/packages/core/src/sardineroute_core/runmessages.py
@@ -15,7 +15,8 @@
     If `may_wait` is false and the worker lacks the capacity to start the run
     at once, the run is returned to the sender. A run that `is_suspect` is not
     started beside a suspect run of another job, and no other run is started
-    shortly before or after it.
+    shortly before or after it. If `packed` is not empty, it is the payload as
+    in `payloads`, and `payload` is empty.
     """
 
     worker: str
@@ -36,6 +37,7 @@
     lease_ms: int
     traceparent: str
     is_suspect: bool = False
+    packed: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinerouted/dispatching/jobs.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobs.py
@@ -6,6 +6,7 @@
 import socket
 
 from sardineroute_core import errors
+from sardineroute_core import payloads
 from sardineroute_core import routing
 from sardineroute_core import traces
 from sardineroute_core import work
@@ -106,6 +107,7 @@
     Attributes:
         request: What the caller submitted.
         queue: The queue's configuration when the job arrived.
+        packed_payload: The compressed payload; empty if it is sent as it is.
         tasks_by_id: All tasks of all steps.
         state: The job's state.
         error: The error for the callers if the job was refused, aborted or
@@ -130,6 +132,7 @@
     ) -> None:
         self.request = request
         self.queue = queue
+        self.packed_payload = payloads.pack(request.payload)
         self._estimates_ms = estimates_ms
         self._run_times_ms_by_step: dict[int, list[float]] = {}
         self.tasks_by_id = {
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -40,6 +40,8 @@
             task's data.
         slack_ratio: Time left until the job's objective after the expected
             end, as a share of the task's expected wait and run time.
+        alternatives: Number of other placements that were considered, where
+            the task would start at once and be on time.
     """
 
     sidecar: sidecars.Sidecar
@@ -47,6 +49,7 @@
     run_ms: float
     distance_factor: float
     slack_ratio: float
+    alternatives: int = 0
 
     @property
     def is_on_time(self) -> bool:
@@ -128,6 +131,16 @@
     choices = [
         _evaluate(task, sidecar, now_ms, far_factor) for sidecar in sampled
     ]
+    chosen = _choose_best(task, choices)
+    others = sum(
+        choice.expected_wait_ms == 0 and choice.is_on_time
+        for choice in choices
+        if choice is not chosen
+    )
+    return dataclasses.replace(chosen, alternatives=others)
+
+
+def _choose_best(task: jobs.Task, choices: list[Choice]) -> Choice:
     startable = [choice for choice in choices if choice.expected_wait_ms == 0]
     ample_slack = [
         choice
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -18,6 +18,7 @@
 from sardinerouted.dispatching import joblog
 from sardinerouted.dispatching import jobmetrics
 from sardinerouted.dispatching import jobs
+from sardinerouted.dispatching import levels
 from sardinerouted.dispatching import placement
 from sardinerouted.dispatching import planning
 from sardinerouted.dispatching import sidecars
@@ -26,6 +27,7 @@
 from sardinerouted.dispatching import suspects as suspicion
 
 _CHECK_INTERVAL_MS = 50
+_NEVER_MS = 2**62
 # A pause of the process this long may have made callers disconnect or leases
 # expire.
 _STALL_THRESHOLD_MS = 300
@@ -60,6 +62,7 @@
 _RUN_NUMBER_STEP = 16
 
 _RUNS_LOST = "runs of a task were lost too often"
+_STOPPING = "the entry is shutting down"
 _CONGESTED = "messages to the workers take too long"
 
 _log = logs.get_logger("jobs")
@@ -79,6 +82,7 @@
     Attributes:
         routing_table: The active configuration, or None before the first.
         fleet: The sidecars.
+        stop_ms: When this entry stops; it accepts no job that is to end later.
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         self._clock = time
         self._warm_up_until_ms = warm_up_until_ms
         self.routing_table: routing.Table | None = None
+        self.stop_ms = _NEVER_MS
         self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
         self.fleet.on_cancel = self._cancel_local
         self._suspects = suspicion.Suspects(time)
@@ -167,8 +172,8 @@
         now_ms = self._clock.now_ms()
         job = self._jobs_by_id.get(request.id)
         if job is None:
-            self._refuse_if_hopeless(request, caller, now_ms)
             job = self._create_job(request, queue, now_ms)
+            self._refuse_if_hopeless(job, caller, now_ms)
             self._jobs_by_id[request.id] = job
             self._admit(job)
         job.caller_sockets.append(caller)
@@ -185,7 +190,7 @@
     def abort_all(self) -> None:
         """Aborts all jobs when the drain timeout of the process has passed."""
         for job in list(self._jobs_by_id.values()):
-            self._abort(job, "the entry is shutting down")
+            self._abort(job, _STOPPING)
 
     async def run_checks(self) -> None:
         """Checks connections, leases and jobs periodically; never returns."""
@@ -227,9 +232,9 @@
             self._abort(job, "the deadline has passed")
 
     def _refuse_if_hopeless(
-        self, request: work.Request, caller: socket.socket | None, now_ms: int
+        self, job: jobs.Job, caller: socket.socket | None, now_ms: int
     ) -> None:
-        """Refuses a new job that nobody waits for or that would be late.
+        """Refuses a new job that nobody waits for or that can't be finished.
 
         Raises:
             errors.Error: The job is refused.
@@ -241,10 +246,12 @@
             reason = "the caller has disconnected"
         elif self._is_congested(now_ms):
             reason = _CONGESTED
+        elif job.objective_ms > self.stop_ms:
+            reason = _STOPPING
         if reason:
             _log.info(
                 "Refused a new job.",
-                job=request.id,
+                job=job.request.id,
                 why=reason,
                 late_starts=self._congestion.late_start_count,
             )
@@ -286,8 +293,9 @@
                 self._abort(job, reason)
             # Otherwise `_check_job` tries again for a short while.
             return
+        min_slack = levels.min_slack(job.queue, self.routing_table)
         if any(
-            choice.expected_wait_ms > 0 and not choice.is_on_time
+            choice.expected_wait_ms > 0 and choice.slack_ratio < min_slack
             for _, choice in choices
         ):
             if self._clock.now_ms() < self._warm_up_until_ms:
--- a/packages/daemon/src/sardinerouted/dispatching/starts.py
+++ b/packages/daemon/src/sardinerouted/dispatching/starts.py
@@ -8,6 +8,9 @@
 # After this many refusals for lack of capacity a task is sent to wait in the
 # sidecar's queue: free capacity is then taken faster than load reports arrive.
 _MAX_CAPACITY_REFUSALS = 3
+# A task with fewer other workers to start on waits where it is sent: on a fleet
+# at its limit another entry has mostly taken those too.
+_MIN_ALTERNATIVES = 2
 # The sidecar returns a start that waits for this much longer than expected.
 _START_GRACE_MS = 120
 
@@ -23,6 +26,7 @@
         choice.expected_wait_ms > 0
         or is_suspect
         or task.capacity_refusals >= _MAX_CAPACITY_REFUSALS
+        or choice.alternatives < _MIN_ALTERNATIVES
     )
     start_by_ms = int(now_ms + choice.expected_wait_ms + _START_GRACE_MS)
     start_by_ms = min(max(start_by_ms, latest_start_ms), job.deadline_ms)
@@ -48,7 +52,7 @@
             step=task.id.step,
             index=task.id.index,
             number=task.run_number,
-            payload=job.request.payload,
+            payload="" if job.packed_payload else job.request.payload,
             cpu_millicores=size.cpu_millicores,
             memory_mb=size.memory_mb,
             gpus=size.gpus,
@@ -60,5 +64,6 @@
             start_by_ms=sidecar.to_sidecar_clock_ms(start_by_ms),
             lease_ms=sidecar.renew_lease(),
             traceparent=task.span.traceparent,
+            packed=job.packed_payload,
         ),
     )
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -186,9 +186,12 @@
 ) -> None:
     """Finishes open jobs and aborts those left at the drain timeout.
 
-    New jobs are accepted until the load balancer has stopped sending them.
+    New connections are accepted until the load balancer has stopped sending
+    them. Callers use their open connections until the end: jobs that could not
+    be finished by then are refused.
     """
     _log.info("Draining.", jobs=scheduler.in_flight())
+    scheduler.stop_ms = clock.Clock().now_ms() + options.drain_timeout_ms
     await asyncio.sleep(options.leave_rotation_ms / 1_000)
     httpd.drain()
     stopping = asyncio.create_task(asyncio.to_thread(httpd.stop))
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -7,15 +7,16 @@
 from sardineroute_core import clock
 from sardineroute_core import hosting
 from sardineroute_core import logs
+from sardineroute_core import payloads
 from sardineroute_core import runmessages
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardineroute_core import work
-from sardinerouted import crashes
 from sardinerouted import dialing
 from sardinerouted.worker import availability
 from sardinerouted.worker import executor
 from sardinerouted.worker import load
+from sardinerouted.worker import relay
 from sardinerouted.worker import runtable
 from sardinerouted.worker import workermetrics
 
@@ -29,11 +30,14 @@
 _CHECK_INTERVAL_MS = 50
 # Changes of the load are sent to the followers at most once per interval. It is
 # this time multiplied by their number, so that a sidecar's messages don't grow
-# with it. An entry whose run has ended is sent the load at once.
+# with it.
 _LOAD_INTERVAL_MS_PER_FOLLOWER = 12
 # A lease renewal is answered with the load unless the load was sent within this
 # time.
 _MIN_LOAD_REPLY_INTERVAL_MS = 100
+# The end of a run is reported with the load unless the load was sent within
+# this time: reports take a large part of the small links.
+_MIN_LOAD_INTERVAL_AT_END_MS = 24
 # The session of a disconnected entry without runs is removed this long after
 # its lease has ended.
 _SESSION_RETENTION_MS = 60_000
@@ -83,13 +87,11 @@
         self._clock = time
         self.executor = executor.Executor(time, client, self._report_end)
         self.executor.on_change = self._send_worker
-        self._id = identity.id
-        self.executor.on_crash = self._handle_own_crash
         self._availability = availability.Availability(
             time, self.executor, options.failure_domain, self._send_worker
         )
-        self._crashes = crashes.History(time)
-        self._confined_queues = crashes.ConfinedQueues(time)
+        self._relay = relay.CrashRelay(time, identity.id, self._broadcast)
+        self.executor.on_crash = self._relay.report_own
         self.executor.lease_end_of = self._lease_end_of
         self._load_reporter = load.LoadReporter(
             time, self.executor.runs, self.executor.speed
@@ -229,11 +231,8 @@
         session.connection = connection
         session.starts_received = 0
         session.is_follower = True
-        known_crashes = self._crashes.message(self._id)
-        if known_crashes.crashes:
-            connection.send(known_crashes)
-        if self._confined_queues:
-            connection.send(self._confined_queues.message())
+        for greeting in self._relay.greetings():
+            connection.send(greeting)
         for ended in session.unsent_ends:
             connection.send(ended)
         session.unsent_ends.clear()
@@ -260,7 +259,7 @@
         if isinstance(message, runmessages.StartRun):
             session.starts_received += 1
             session.lease_end_ms = max(session.lease_end_ms, message.lease_ms)
-            self.executor.submit(message, owner)
+            self.executor.submit(_unpack(message), owner)
             self._load_changed.set()
         elif isinstance(message, runmessages.Renew):
             session.lease_end_ms = max(session.lease_end_ms, message.lease_ms)
@@ -284,10 +283,9 @@
             source = session.connection.peer.id if session.connection else ""
             self._availability.apply(message, source)
         elif isinstance(message, runmessages.Crashes):
-            for crash in message.crashes:
-                self._handle_crash(crash)
+            self._relay.handle_crashes(message)
         elif isinstance(message, runmessages.ConfinedQueues):
-            self._handle_confined_queues(session, message)
+            self._relay.handle_confined_queues(message, owner)
 
     def _handle_stop_runs(
         self, owner: str, message: runmessages.StopRuns
@@ -308,26 +306,10 @@
             if session is not None and session.connection is not None:
                 session.connection.send(message)
 
-    def _handle_own_crash(self, crash: runmessages.WorkerCrash) -> None:
-        self._handle_crash(dataclasses.replace(crash, sidecar=self._id))
-
-    def _handle_crash(self, crash: runmessages.WorkerCrash) -> None:
-        """Tells all entries of a crash that was not known before."""
-        if not self._crashes.add(crash):
-            return
-        message = runmessages.Crashes((crash,))
-        for session in self._sessions_by_owner.values():
-            if session.connection is not None:
-                session.connection.send(message)
-
-    def _handle_confined_queues(
-        self, sender: _EntrySession, message: runmessages.ConfinedQueues
-    ) -> None:
-        """Passes confined queues on to the other entries, if they are news."""
-        if not self._confined_queues.extend(message):
-            return
-        for session in self._sessions_by_owner.values():
-            if session is not sender and session.connection is not None:
+    def _broadcast(self, message: Any, except_owner: str) -> None:
+        """Sends a message to all connected entries but one."""
+        for owner, session in self._sessions_by_owner.items():
+            if owner != except_owner and session.connection is not None:
                 session.connection.send(message)
 
     def _report_end(
@@ -350,7 +332,9 @@
             session.unsent_ends.append(message)
         else:
             session.connection.send(message)
-            self._send_load(session)
+            load_age_ms = self._clock.now_ms() - session.load_sent_ms
+            if load_age_ms >= _MIN_LOAD_INTERVAL_AT_END_MS:
+                self._send_load(session)
         self._load_changed.set()
 
     def _worker_message(self) -> runmessages.Worker:
@@ -394,3 +378,18 @@
         session.connection.send(
             dataclasses.replace(current, taken=session.starts_received)
         )
+
+
+def _unpack(start: runmessages.StartRun) -> runmessages.StartRun:
+    """Returns the start message with its payload as text.
+
+    Raises:
+        streams.ConnectionLost: The payload is malformed.
+    """
+    if not start.packed:
+        return start
+    try:
+        payload = payloads.unpack(start.packed)
+    except payloads.MalformedPayload as error:
+        raise streams.ConnectionLost(f"malformed payload: {error}") from error
+    return dataclasses.replace(start, payload=payload, packed=b"")
--- a/packages/daemon/src/sardinerouted/worker/executor.py
+++ b/packages/daemon/src/sardinerouted/worker/executor.py
@@ -19,6 +19,7 @@
 from sardinerouted.worker import runtable
 from sardinerouted.worker import spacing
 from sardinerouted.worker import speed
+from sardinerouted.worker import waits
 from sardinerouted.worker import workermetrics
 
 # Used as the end of all leases until `lease_end_of` is set.
@@ -153,20 +154,7 @@
         self._calls.record_answer()
         self.check_liveness()
         if changed or redescribed or draining != registration.draining:
-            _log.info(
-                "The worker has registered.",
-                worker=registration.id,
-                incarnation=registration.incarnation,
-                service=registration.service,
-                address=registration.address,
-                sequence=registration.sequence,
-                previous=previous.id if previous else "",
-                previous_incarnation=previous.incarnation if previous else 0,
-                draining=registration.draining,
-                cpu_millicores=registration.capacity.cpu_millicores,
-                memory_mb=registration.capacity.memory_mb,
-                used_millicores=self.runs.used.cpu_millicores,
-            )
+            runlog.log_registration(registration, previous, self.runs.used)
             self.on_change()
         if changed and listing is not None:
             self._handle_worker_runs(listing.runs, listing.sent_ms)
@@ -243,9 +231,7 @@
             self._end(run, work.Outcome.REFUSED_ISOLATED)
         else:
             self.runs.add(run)
-            self.start_waiting()
-            if run.phase is runtable.Phase.WAITING and not request.may_wait:
-                self._end(run, work.Outcome.REFUSED_FULL)
+            self.start_waiting(run)
 
     def stop(self, run: runtable.Run, outcome: work.Outcome) -> None:
         """Stops a run, with retries until the worker confirms.
@@ -283,8 +269,12 @@
             _log.info("The worker answers again.")
         self.on_change()
 
-    def start_waiting(self) -> None:
-        """Starts runs that fit and refuses those past their start deadline."""
+    def start_waiting(self, arrived: runtable.Run | None = None) -> None:
+        """Starts runs that fit; refuses those that had better not wait here.
+
+        Args:
+            arrived: A run that was added just now.
+        """
         now_ms = self._clock.now_ms()
         for run in self.runs.waiting():
             fits_when_idle = run.size.fits_in(self.runs.capacity)
@@ -292,18 +282,27 @@
                 self._end(run, work.Outcome.REFUSED_FULL)
             elif not self.accepts_runs:
                 self._end(run, work.Outcome.REFUSED_LEAVING)
+        is_open = self._start_fitting(now_ms)
+        for run in waits.sent_back(
+            self.runs, self.speed, now_ms, arrived, is_open
+        ):
+            self._end(run, work.Outcome.REFUSED_FULL)
+
+    def _start_fitting(self, now_ms: int) -> bool:
+        """Starts runs that fit; returns whether others lack only capacity."""
         if now_ms < self._starts_paused_until_ms or self._calls.is_refusing:
-            return
+            return False
         while (fitting := self.runs.next_fitting(now_ms)) is not None:
             delay_ms = self._spacing.delay_ms(fitting, now_ms)
             if delay_ms > 0:
                 self._pause_starts(delay_ms)
-                return
+                return False
             self._spacing.record_start(fitting, now_ms)
             self.runs.held_back_until_ms = self._spacing.held_back_until_ms
             self.runs.reserve(fitting)
             self.renewals.notify_start()
             self._spawn(self._send_start(fitting))
+        return not self.runs.is_blocked
 
     def _is_for_current_worker(self, request: runmessages.StartRun) -> bool:
         worker = self.worker
@@ -626,14 +625,21 @@
         self, registration: hosting.Registration, listing: Listing | None
     ) -> None:
         """Resets the state; runs of an earlier incarnation ended with it."""
-        listed = self._runs_of_incarnation(registration, listing)
+        has_same_id = (
+            self.worker is not None and self.worker.id == registration.id
+        )
+        listed = []
+        if listing is not None and has_same_id:
+            # A worker that starts again under its id accepts starts that were
+            # meant for the earlier incarnation.
+            listed = self.runs.begun(
+                listing.runs.running | {end.run for end in listing.runs.ended},
+                listing.sent_ms,
+            )
         lost = [run for run in self.runs.active() if run not in listed]
         outcome = self._ended_outcome(
             "another incarnation has registered", lost
         )
-        has_same_id = (
-            self.worker is not None and self.worker.id == registration.id
-        )
         unconfirmed = [run for run in lost if has_same_id and not run.confirmed]
         for run in unconfirmed:
             # The start request may still reach the new incarnation.
@@ -648,24 +654,6 @@
         self.renewals.request_renewal()
         self.speed = speed.SpeedTracker(self._clock)
 
-    def _runs_of_incarnation(
-        self, registration: hosting.Registration, listing: Listing | None
-    ) -> list[runtable.Run]:
-        """Returns the active runs that a new incarnation has begun.
-
-        A worker that starts again under its id accepts starts that were meant
-        for the earlier incarnation.
-        """
-        worker = self.worker
-        if listing is None or worker is None or worker.id != registration.id:
-            return []
-        listed = listing.runs.running | {end.run for end in listing.runs.ended}
-        return [
-            run
-            for run in self.runs.active()
-            if run.ref in listed or run.started_ms >= listing.sent_ms
-        ]
-
     def _remove_worker(self) -> None:
         self.worker = None
         self._end_all_runs(work.Outcome.LAPSED)
--- a/packages/daemon/src/sardinerouted/worker/load.py
+++ b/packages/daemon/src/sardinerouted/worker/load.py
@@ -1,21 +1,24 @@
 """Computes the load of the worker that a sidecar reports to the entries."""
 
+from collections.abc import Iterable
+
 from sardineroute_core import clock
 from sardineroute_core import runmessages
 from sardineroute_core import work
+from sardinerouted.worker import forecast
 from sardinerouted.worker import runtable
 from sardinerouted.worker import speed
 
 # Assumed for the next run while there are no runs to derive it from.
 _DEFAULT_RUN_MILLICORES = 1_000
 _DEFAULT_RUN_MS = 300
-# The remaining time of a run is at least this share of its expected or elapsed
-# time, whichever is longer. Run times spread by a third around the expected
-# value, and the longer a run is overdue, the less is known about its end.
-_MIN_REMAINING_SHARE = 0.25
-# Limit on the expected ends in a report. A worker starts fewer runs than this
-# between two reports.
-_MAX_REPORTED_ENDS = 16
+# Limit on the rows of expected ends in a report. A worker starts fewer runs
+# than these rows tell of between two reports.
+_MAX_REPORTED_ENDS = 10
+# Ends are reported together if the last is expected at most this much later
+# than the first: less than the run times vary.
+_JOINED_SHARE = 0.15
+_JOINED_MS = 4.0
 # Time until the worker has listed its runs and stopped those that this sidecar
 # didn't start: two calls and a stop.
 _LISTING_DELAY_MS = 100
@@ -54,7 +57,7 @@
         # Mean time between the ends of runs on a fully used worker.
         interval_ms = typical_run_ms / slots
         free = self._runs.free
-        ends = self._expected_ends(runs, now_ms)
+        ends = _join(forecast.expected_ends(runs, self._speed.slowness, now_ms))
         blocked_ms = max(0, self._runs.held_back_until_ms - now_ms)
         if self._runs.is_blocked:
             blocked_ms = max(blocked_ms, _LISTING_DELAY_MS)
@@ -71,40 +74,42 @@
             ends=ends[:_MAX_REPORTED_ENDS],
             run_interval_ms=int(interval_ms),
             slowness_permille=int(self._speed.slowness * 1_000),
-            trouble=int(self._speed.failure_score() + 0.5)
-            + self._count_stuck(runs, now_ms),
+            trouble=trouble(runs, self._speed, now_ms),
         )
 
-    def _remaining_ms(self, run: runtable.Run, now_ms: int) -> float:
-        run_ms = max(1.0, run.request.estimate_ms * self._speed.slowness)
-        if not run.confirmed:
-            return run_ms
-        elapsed_ms = now_ms - run.started_ms
-        return max(
-            run_ms - elapsed_ms, _MIN_REMAINING_SHARE * max(run_ms, elapsed_ms)
-        )
 
-    def _expected_ends(
-        self, runs: list[runtable.Run], now_ms: int
-    ) -> tuple[tuple[int, int, int, int], ...]:
-        """Returns the expected ends of the active runs, soonest first."""
-        return tuple(
-            sorted(
-                _row(int(self._remaining_ms(run, now_ms)), run.size)
-                for run in runs
-                if run.phase is not runtable.Phase.WAITING
-            )
-        )
+def trouble(
+    runs: Iterable[runtable.Run], tracker: speed.SpeedTracker, now_ms: int
+) -> int:
+    """Returns a worker's trouble score; see `runmessages.Load`."""
+    stuck = sum(
+        run.confirmed
+        and tracker.is_stuck(run.request.estimate_ms, run.started_ms, now_ms)
+        for run in runs
+    )
+    return int(tracker.failure_score() + 0.5) + stuck
 
-    def _count_stuck(self, runs: list[runtable.Run], now_ms: int) -> int:
-        return sum(
-            1
-            for run in runs
-            if run.confirmed
-            and self._speed.is_stuck(
-                run.request.estimate_ms, run.started_ms, now_ms
-            )
-        )
+
+def _join(
+    ends: list[forecast.End],
+) -> tuple[tuple[int, int, int, int], ...]:
+    """Returns the rows of expected ends; near ones are joined to the last.
+
+    Each row counts in each message to each entry.
+    """
+    rows: list[tuple[int, int, int, int]] = []
+    first_ms = 0.0
+    joined = work.Size()
+    for until_ms, released in ends:
+        limit_ms = first_ms + max(_JOINED_MS, _JOINED_SHARE * first_ms)
+        if rows and until_ms <= limit_ms:
+            joined = joined.plus(released)
+            rows[-1] = _row(int(until_ms), joined)
+        else:
+            first_ms = until_ms
+            joined = released
+            rows.append(_row(int(until_ms), joined))
+    return tuple(rows)
 
 
 def _waiting_by_priority(
--- a/packages/daemon/src/sardinerouted/worker/runlog.py
+++ b/packages/daemon/src/sardinerouted/worker/runlog.py
@@ -31,6 +31,28 @@
     )
 
 
+def log_registration(
+    registration: hosting.Registration,
+    previous: hosting.Registration | None,
+    used: work.Size,
+) -> None:
+    """Logs a heartbeat that changes what is known of the worker."""
+    _log.info(
+        "The worker has registered.",
+        worker=registration.id,
+        incarnation=registration.incarnation,
+        service=registration.service,
+        address=registration.address,
+        sequence=registration.sequence,
+        previous=previous.id if previous else "",
+        previous_incarnation=previous.incarnation if previous else 0,
+        draining=registration.draining,
+        cpu_millicores=registration.capacity.cpu_millicores,
+        memory_mb=registration.capacity.memory_mb,
+        used_millicores=used.cpu_millicores,
+    )
+
+
 def run_rows(
     runs: Iterable[runtable.Run], now_ms: int
 ) -> list[tuple[str, int, int, int]]:
--- a/packages/daemon/src/sardinerouted/worker/runtable.py
+++ b/packages/daemon/src/sardinerouted/worker/runtable.py
@@ -4,6 +4,7 @@
 import enum
 import heapq
 import itertools
+from collections.abc import Collection
 from collections.abc import Iterator
 
 from sardineroute_core import hosting
@@ -71,6 +72,17 @@
 _HeapItem = tuple[int, int, int, Run]
 
 
+def start_order(run: Run, now_ms: int) -> tuple[bool, int, int]:
+    """Returns the key by which waiting runs start, lowest first.
+
+    Runs are ordered by priority, then by latest start. Runs that are late
+    already come after all that can still be on time: if they went first, they
+    would delay those too.
+    """
+    request = run.request
+    return request.rank < now_ms, request.priority, request.rank
+
+
 class RunTable:
     """All runs of the worker, including those that it hasn't confirmed yet.
 
@@ -162,12 +174,7 @@
         self._push_waiting(run)
 
     def next_fitting(self, now_ms: int) -> Run | None:
-        """Returns the most urgent waiting run if it fits, else None.
-
-        Runs are ordered by priority, then by latest start. Runs that are late
-        already come after all that can still be on time: if they went first,
-        they would delay those too.
-        """
+        """Returns the first waiting run by `start_order` if it fits."""
         run = self._most_urgent(now_ms)
         if run is None or self.is_blocked or not run.size.fits_in(self.free):
             return None
@@ -228,6 +235,21 @@
                 ends.append((run, work.Outcome.LAPSED))
         return ends
 
+    def begun(
+        self, listed: Collection[hosting.RunRef], sent_ms: int
+    ) -> list[Run]:
+        """Returns the active runs that a new incarnation has begun.
+
+        Args:
+            listed: The runs and ended runs that it lists.
+            sent_ms: When the list was requested.
+        """
+        return [
+            run
+            for run in self.active()
+            if run.ref in listed or run.started_ms >= sent_ms
+        ]
+
     def remove(self, run: Run, now_ms: int) -> None:
         """Removes a run and releases its capacity."""
         if self._runs_by_task.get(run.ref.task) is not run:
--- a/tests/fakeworker.py
+++ b/tests/fakeworker.py
@@ -52,6 +52,7 @@
         self.run_ms = run_ms
         self.max_concurrent_runs = 0
         self.starts: list[hosting.RunRef] = []
+        self.payloads: list[str] = []
         self.tokens: set[int] = set()
         self.highest_token = 0
         self.incarnation = 7
@@ -92,6 +93,7 @@
                 self.lost_starts -= 1
                 self._lost_requests.append((run, lease_until_ms))
                 raise hosting.Unanswered("lost")
+            self.payloads.append(payload)
             reply = self._start_run(run, lease_until_ms)
             if run.task in self.fatal_tasks:
                 self.crash()
