--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -62,6 +62,7 @@
 _RUN_NUMBER_STEP = 16
 
 _RUNS_LOST = "runs of a task were lost too often"
+_NO_CAPACITY = "no worker has capacity in time"
 _STOPPING = "the entry is shutting down"
 _CONGESTED = "messages to the workers take too long"
 
@@ -82,7 +83,7 @@
     Attributes:
         routing_table: The active configuration, or None before the first.
         fleet: The sidecars.
-        stop_ms: When this entry stops; it accepts no job that is to end later.
+        stop_ms: When this entry stops; it accepts no job that would end later.
     """
 
     def __init__(
@@ -172,8 +173,8 @@
         now_ms = self._clock.now_ms()
         job = self._jobs_by_id.get(request.id)
         if job is None:
+            self._refuse_if_hopeless(request, caller, now_ms)
             job = self._create_job(request, queue, now_ms)
-            self._refuse_if_hopeless(job, caller, now_ms)
             self._jobs_by_id[request.id] = job
             self._admit(job)
         job.caller_sockets.append(caller)
@@ -232,9 +233,9 @@
             self._abort(job, "the deadline has passed")
 
     def _refuse_if_hopeless(
-        self, job: jobs.Job, caller: socket.socket | None, now_ms: int
+        self, request: work.Request, caller: socket.socket | None, now_ms: int
     ) -> None:
-        """Refuses a new job that nobody waits for or that can't be finished.
+        """Refuses a new job that nobody waits for or that would be late.
 
         Raises:
             errors.Error: The job is refused.
@@ -246,12 +247,10 @@
             reason = "the caller has disconnected"
         elif self._is_congested(now_ms):
             reason = _CONGESTED
-        elif job.objective_ms > self.stop_ms:
-            reason = _STOPPING
         if reason:
             _log.info(
                 "Refused a new job.",
-                job=job.request.id,
+                job=request.id,
                 why=reason,
                 late_starts=self._congestion.late_start_count,
             )
@@ -286,31 +285,32 @@
 
         No task of the job may have started yet.
         """
+        now_ms = self._clock.now_ms()
+        is_warming_up = now_ms < self._warm_up_until_ms
         choices = self._planner.plan(job)
         if len(choices) < len(job.queued_tasks()):
             reason = self._planner.why_impossible(job)
-            if reason and self._clock.now_ms() >= self._warm_up_until_ms:
+            if reason and not is_warming_up:
                 self._abort(job, reason)
             # Otherwise `_check_job` tries again for a short while.
             return
+        expected_ms = max(
+            choice.expected_completion_ms for _, choice in choices
+        )
         min_slack = levels.min_slack(job.queue, self.routing_table)
-        if any(
+        if now_ms + expected_ms > self.stop_ms:
+            reason = _STOPPING
+        elif any(
             choice.expected_wait_ms > 0 and choice.slack_ratio < min_slack
             for _, choice in choices
         ):
-            if self._clock.now_ms() < self._warm_up_until_ms:
-                return
-            expected_completion_ms = max(
-                choice.expected_completion_ms for _, choice in choices
-            )
-            self._end(
-                job,
-                jobs.State.FAILED,
-                _overloaded_error("no worker has capacity in time"),
-                expected_ms=int(expected_completion_ms),
-            )
+            reason = _NO_CAPACITY
+        else:
+            self._send_starts(choices)
             return
-        self._send_starts(choices)
+        if not is_warming_up:
+            error = _overloaded_error(reason)
+            self._end(job, jobs.State.FAILED, error, int(expected_ms))
 
     def _send_starts(
         self, choices: list[tuple[jobs.Task, placement.Choice]]
@@ -470,7 +470,7 @@
             and choice.expected_completion_ms > remaining_ms
             for _, choice in choices
         ):
-            self._withdraw(job, "no worker has capacity in time")
+            self._withdraw(job, _NO_CAPACITY)
             return
         reason = self._planner.why_unplaceable(job, choices, remaining_ms)
         if reason:
