--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -295,7 +295,8 @@
             # Otherwise `_check_job` tries again for a short while.
             return
         expected_ms = max(
-            choice.expected_completion_ms for _, choice in choices
+            (choice.expected_completion_ms for _, choice in choices),
+            default=0.0,
         )
         min_slack = levels.min_slack(job.queue, self.routing_table)
         if now_ms + expected_ms > self.stop_ms:
