Tests: waiting runs that aren't late; estimates that fit the run time

Runs that wait at a shrunken worker are sent back now once they would be late, after 500 ms in test_resized_workers; they have 2,000 ms to start now, and all its checks stay. test_evacuation's runs of 400 ms were declared with 50 ms, so that the entry took them for stuck after 300 ms in one of the runs.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -244,7 +244,9 @@
         async with hostedrig.fleet(2, workers) as rig:
             informed, ignorant = rig.entries
             jobs = [
-                asyncio.create_task(ignorant.submit(f"job-{number}", tasks=4))
+                asyncio.create_task(
+                    ignorant.submit(f"job-{number}", tasks=4, estimate_ms=400)
+                )
                 for number in range(2)
             ]
             await rig.wait_until(lambda: len(workers[0].starts) == 4)
--- a/tests/test_resized_workers.py
+++ b/tests/test_resized_workers.py
@@ -35,7 +35,9 @@
         beside: list[int] = []
         worker.on_start = lambda run: beside.append(len(worker.running))
         for number in range(4):
-            rig.submit(f"late-{number}")
+            # None is late before it can start.
+            rank = rig.clock.now_ms() + 2_000
+            rig.submit(f"late-{number}", rank=rank)
         early = [f"early-{number}" for number in range(4)]
         await rig.wait_until(
             lambda: beside != [] and set(early) <= set(rig.outcomes())
