--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -115,6 +115,12 @@
             return False
         for sidecar in self.all_sidecars():
             sidecar.is_evacuated = sidecar.failure_domain in self.evacuated
+        _log.info(
+            "Tasks are placed outside of evacuated failure domains only.",
+            domains=statement.domains,
+            evacuated=sum(one.is_evacuated for one in self.all_sidecars()),
+            usable=self.usable_count(),
+        )
         self.broadcast(statement)
         # Those that take over the work are followed from now on.
         self._select_followed(self._clock.now_ms())
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import itertools
+import pathlib
+import signal
 import socket
 from typing import Any
 
@@ -13,7 +15,9 @@
 from hypothesis import given
 from hypothesis import strategies
 
+import fakeplatform
 import fakeworker
+import hostedprocesses
 import hostedrig
 import offlinerig
 from sardineroute_core import clock
@@ -274,6 +278,49 @@
     asyncio.run(main())
 
 
+# Guards against entries and sidecars that forget an evacuation with their
+# processes, while the store doesn't answer at first.
+def test_evacuation_outlives_the_loss_of_all_processes(
+    tmp_path: pathlib.Path,
+) -> None:
+    workers = [fakeworker.FakeWorker() for _ in range(2)]
+    step = {"count": 4, "cpu": 1_000, "memMb": 10, "estimateMs": 50}
+    job = {"spec": "text", "bestEffort": True, "steps": [step]}
+    ids = (f"{number:016x}" for number in itertools.count())
+    with fakeplatform.serve() as store:
+        record = hostedprocesses.configuration(3)
+        store.append("keyed.op", "config", record)
+        fleet = hostedprocesses.Fleet(store, tmp_path, 1, workers)
+        try:
+            fleet.start()
+            zone = fleet.zones()[0]
+            fleet.set_evacuated(zone, True)
+            fleet.wait_until(
+                lambda: "Nothing more is started" in fleet.output("sidecar-0")
+            )
+            starts = len(workers[0].starts)
+            for name in fleet.names():
+                fleet.signal(name, signal.SIGKILL)
+                fleet.processes_by_name[name].wait()
+            store.refused_reads = 6
+            for name in fleet.names():
+                fleet.start_process(name)
+            fleet.wait_until(fleet.is_ready)
+            for _ in range(5):
+                assert fleet.submit(next(ids), job).status == 200
+            assert len(workers[0].starts) == starts
+            assert len(workers[1].starts) >= 20
+            fleet.set_evacuated(zone, False)
+            fleet.wait_until(
+                lambda: (
+                    fleet.submit(next(ids), job).status == 200
+                    and len(workers[0].starts) > starts
+                )
+            )
+        finally:
+            fleet.close()
+
+
 # Guards against starts of an entry that has an older configuration.
 def test_sidecar_of_the_products_own_fleet_is_the_last_guard() -> None:
     async def main(port: int) -> None:
