Tell sidecars of evacuations only what they need to hear

Cause: an entry sent its statement on each new stream once it had read the operator's records, so that a sidecar of an earlier version would have closed every stream in a rolling upgrade. Change: it is sent on connecting only while a failure domain is evacuated; a sidecar that holds a statement tells it, and gets the newer one. In the product's own fleet a version without evacuated domains needs no statement.

--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -145,7 +145,7 @@
         if restarted:
             self._detach_tasks(sidecar)
         sidecar.connect(connection)
-        if self.evacuated.is_known:
+        if self.evacuated.statement.domains:
             connection.send(self.evacuated.statement)
         known_crashes = self.crashes_at(peer.id)
         if known_crashes.crashes:
@@ -273,6 +273,8 @@
         elif isinstance(message, runmessages.Worker):
             sidecar.update_worker(message)
             sidecar.is_evacuated = message.failure_domain in self.evacuated
+        elif isinstance(message, runmessages.Evacuations):
+            self._handle_evacuations(sidecar, message)
         elif isinstance(message, runmessages.CancelJob):
             self.on_cancel(message.job)
         elif isinstance(message, runmessages.Crashes):
@@ -280,6 +282,20 @@
         elif isinstance(message, runmessages.ConfinedQueues):
             self.on_confined_queues(message)
 
+    def _handle_evacuations(
+        self, sidecar: sidecars.Sidecar, statement: runmessages.Evacuations
+    ) -> None:
+        """Tells a sidecar what has changed since it last heard.
+
+        Where it knows more, its description of its worker says what matters.
+        """
+        newest = self.evacuated.statement
+        if (
+            sidecar.connection is not None
+            and newest.position > statement.position
+        ):
+            sidecar.connection.send(newest)
+
     def _acknowledge_load(self, sidecar: sidecars.Sidecar) -> None:
         """Shows an idle sidecar that the connection works."""
         idle_ms = self._clock.now_ms() - sidecar.lease_renewed_ms
--- a/packages/daemon/src/sardinerouted/entry/fleet/distribution.py
+++ b/packages/daemon/src/sardinerouted/entry/fleet/distribution.py
@@ -66,11 +66,12 @@
         now_ms = self._clock.now_ms()
         if server.configure_sent_ms == 0:
             server.configure_sent_ms = now_ms
-            connection.send(
-                runmessages.Evacuations(
-                    current_policy.version, current_policy.evacuated_domains
+            if current_policy.evacuated_domains:
+                connection.send(
+                    runmessages.Evacuations(
+                        current_policy.version, current_policy.evacuated_domains
+                    )
                 )
-            )
             connection.send(
                 messages.Configure(
                     current_policy.version, current_policy.max_task_timeout_ms
--- a/packages/daemon/src/sardinerouted/sidecar/service.py
+++ b/packages/daemon/src/sardinerouted/sidecar/service.py
@@ -141,6 +141,11 @@
         self, connection: streams.Connection, message: object
     ) -> None:
         if isinstance(message, messages.Configure):
+            # A version with evacuated domains comes with a statement before.
+            self._handle_evacuations(
+                runmessages.Evacuations(message.version, ()),
+                connection.peer.id,
+            )
             connection.send(self._configuration.apply(message))
         elif isinstance(message, runmessages.Evacuations):
             self._handle_evacuations(message, connection.peer.id)
--- a/packages/daemon/src/sardinerouted/worker/entrysessions.py
+++ b/packages/daemon/src/sardinerouted/worker/entrysessions.py
@@ -233,6 +233,8 @@
         session.is_follower = True
         for greeting in self._relay.greetings():
             connection.send(greeting)
+        if self._availability.evacuated.statement.domains:
+            connection.send(self._availability.evacuated.statement)
         for ended in session.unsent_ends:
             connection.send(ended)
         session.unsent_ends.clear()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -193,6 +193,33 @@
     asyncio.run(main())
 
 
+# Guards against messages that earlier versions don't know, and against a
+# sidecar that has missed the return of its domain.
+def test_sidecar_is_told_only_what_it_does_not_know() -> None:
+    def told(sidecar: offlinerig.FakeSidecar) -> list[Any]:
+        return [
+            message
+            for message in sidecar.connection.sent
+            if isinstance(message, runmessages.Evacuations)
+        ]
+
+    async def main() -> None:
+        rig = await _three_zones()
+        _evacuate(rig, 5)
+        first, second = rig.sidecars[:2]
+        await first.connect()
+        assert not told(first)
+        first.connection.deliver(runmessages.Evacuations(4, ("zone-0",)))
+        await offlinerig.settle()
+        assert told(first) == [runmessages.Evacuations(5, ())]
+        first.connection.deliver(runmessages.Evacuations(6, ("zone-0",)))
+        await offlinerig.settle()
+        assert len(told(first)) == 1
+        assert not told(second)
+
+    asyncio.run(main())
+
+
 # Guards against counting a returned task as failed, or giving its job up.
 def test_tasks_returned_by_an_evacuated_sidecar_run_elsewhere() -> None:
     async def main() -> None:
