--- a/packages/daemon/src/sardinerouted/worker/runlog.py
+++ b/packages/daemon/src/sardinerouted/worker/runlog.py
@@ -28,6 +28,7 @@
         waited_ms=(run.started_ms or now_ms) - run.received_ms,
         run_ms=run_ms,
         estimate_ms=run.request.estimate_ms,
+        latest_start_in_ms=run.request.rank - now_ms,
     )
 
 
