Stand-ins: a paused process has stopped when pause returns

SIGSTOP is delivered some time after it was sent. Change: pause waits until the process is stopped, or has ended.

--- a/packages/standins/src/sardineroute_standins/fleet.py
+++ b/packages/standins/src/sardineroute_standins/fleet.py
@@ -233,8 +233,13 @@
         self.processes_by_name[name].kill()
 
     def pause(self, name: str) -> None:
-        """Stops a process with SIGSTOP; its connections stay open."""
-        self.processes_by_name[name].signal(signal.SIGSTOP)
+        """Stops a process with SIGSTOP; its connections stay open.
+
+        Returns once it has stopped: the signal is delivered some time later.
+        """
+        process = self.processes_by_name[name]
+        process.signal(signal.SIGSTOP)
+        processes.wait_until_stopped(process)
 
     def resume(self, name: str) -> None:
         """Resumes a paused process with SIGCONT."""
--- a/packages/standins/src/sardineroute_standins/processes.py
+++ b/packages/standins/src/sardineroute_standins/processes.py
@@ -1,6 +1,7 @@
 """Starts, signals and stops the processes of a fleet."""
 
 import concurrent.futures
+import contextlib
 import ctypes
 import os
 import pathlib
@@ -10,12 +11,18 @@
 import time
 from collections.abc import Iterable
 
+import psutil
+
 TAIL_BYTES = 4_000
 
 _LIBC = ctypes.CDLL(None)
 _PR_SET_PDEATHSIG = 1
 
 
+_STOPPED_TIMEOUT_S = 5.0
+_STOPPED_POLL_S = 0.001
+
+
 def _kill_with_parent() -> None:
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -150,6 +157,17 @@
         return data.decode(errors="replace")
 
 
+def wait_until_stopped(process: Process) -> None:
+    """Waits until a process to which SIGSTOP was sent has stopped or ended."""
+    end_s = time.monotonic() + _STOPPED_TIMEOUT_S
+    # The process may end between the two looks at it.
+    with contextlib.suppress(psutil.NoSuchProcess):
+        while process.running and time.monotonic() < end_s:
+            if psutil.Process(process.pid).status() == psutil.STATUS_STOPPED:
+                return
+            time.sleep(_STOPPED_POLL_S)
+
+
 def stop(group: Iterable[Process], timeout_s: float) -> None:
     """Stops processes: SIGTERM to all, then SIGKILL after a timeout.
 
