Bound the bytes that all requests hold while they are received

What callers saw: connections broke because the entry ended. 60 connections that each sent all but the last byte of a body of 4 MB made an entry hold 304 to 318 MB (hosted and own, with and without TLS); the smallest host has 160 MB.

Cause: each connection buffered up to http.max_body_bytes before the request was judged, and nothing bounded all of them together.

Change: what a request holds is taken from a budget of the server, http.max_receiving_bytes, before a body is received. A request may have a quarter of what is free, so that large bodies are refused (503 with Retry-After, `ran` unknown, the connection is closed) long before ordinary ones. A counter by limit, a gauge of the bytes held, a log line a second at most.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -128,12 +128,19 @@
     listen_queue: Annotated[int, pydantic.Field(ge=1)] = 512
     max_connections: Annotated[int, pydantic.Field(ge=1)] = 1_024
     max_body_bytes: Annotated[int, pydantic.Field(ge=1)] = 4_194_304
+    max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 33_554_432
     request_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 10_000
     response_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 30_000
     idle_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 75_000
     tls: Tls | None = None
 
 
+class HostedHttp(Http):
+    """The HTTP server of an entry on a platform, whose jobs are small."""
+
+    max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 8_388_608
+
+
 class Streams(_Section):
     """The msgpack streams between the daemon's processes.
 
@@ -299,7 +306,7 @@
     """
 
     role: Literal["entry"]
-    http: Http
+    http: HostedHttp
     readiness: Address
     leave_rotation_ms: Annotated[int, pydantic.Field(ge=0)] = 2_500
     far_factor: Annotated[float, pydantic.Field(ge=1.0)] = 1.0
--- a/packages/daemon/src/sardinerouted/httpd.py
+++ b/packages/daemon/src/sardinerouted/httpd.py
@@ -67,7 +67,9 @@
         server = web_server.make_server(adapter, app, options)
         if index == 0:
             httpmetrics.set_connection_gauges(
-                server.idle_count, server.in_flight_count
+                server.idle_count,
+                server.in_flight_count,
+                server.receiving_bytes,
             )
             _State.main_server = server
         adapter.instance = server
--- a/packages/daemon/src/sardinerouted/web/connection.py
+++ b/packages/daemon/src/sardinerouted/web/connection.py
@@ -11,11 +11,13 @@
 from sardineroute_core import errors
 from sardineroute_core import logs
 from sardinerouted.web import exchanges
+from sardinerouted.web import refusals
 from sardinerouted.web import requests
 from sardinerouted.web import responses
 from sardinerouted.web import sockets
 
 _LINGERING_CLOSE_MS = 500
+_RETRY_AFTER_MS = 1_000
 _DISCARD_READ_BYTES = 262_144
 
 _ERROR_KINDS_BY_STATUS = {
@@ -96,7 +98,8 @@
         code = int(str(status)[:3])
         kind = _ERROR_KINDS_BY_STATUS.get(code, errors.Kind.INTERNAL)
         ran = errors.Ran.NO
-        if kind is errors.Kind.INTERNAL:
+        if kind in (errors.Kind.INTERNAL, errors.Kind.OVERLOADED):
+            # It may be the repetition of a request that is being handled.
             ran = errors.Ran.UNKNOWN
         detail = str(msg) or str(status)[4:]
         if kind is errors.Kind.TOO_LARGE:
@@ -104,7 +107,10 @@
                 f" Allowed: {self.server.max_request_header_size} bytes of "
                 f"headers, {self.server.max_request_body_size} bytes of body."
             )
-        problem = responses.problem(errors.Error(kind, detail, ran))
+        retry_after_ms = _RETRY_AFTER_MS * (kind is errors.Kind.OVERLOADED)
+        problem = responses.problem(
+            errors.Error(kind, detail, ran, retry_after_ms)
+        )
         lines = [f"HTTP/1.1 {problem.status_line}"]
         for name, value in problem.all_headers():
             lines.append(f"{name}: {value}")
@@ -136,7 +142,10 @@
         super().__init__(server, connection, lambda *_: None)
         options = server.options
         self.rfile = sockets.Reader(
-            connection, options.request_timeout_ms, server.clock
+            connection,
+            options.request_timeout_ms,
+            server.receiving,
+            server.clock,
         )
         self.wfile = sockets.Writer(connection, options.response_timeout_ms)
         self.needs_lingering_close = False
@@ -158,6 +167,9 @@
         except sockets.IncompleteRequest:
             self.is_incomplete = True
             return True
+        except sockets.BudgetExceeded:
+            self._refuse_unheld()
+            return False
         self.is_incomplete = False
         self.rfile.finish_request()
         self.wfile.start_request()
@@ -181,6 +193,7 @@
     def close(self) -> None:
         """Closes the connection, after a lingering close if needed."""
         self.server.on_connection_closed(self)
+        self.rfile.close()
         if self.needs_lingering_close and self.server.start_lingering_close(
             self
         ):
@@ -203,6 +216,18 @@
         finally:
             super().close()
 
+    def _refuse_unheld(self) -> None:
+        """Refuses a request whose bytes may not be held."""
+        receiving = self.server.receiving
+        self.server.refusals.record(
+            refusals.Limit.RECEIVING, receiving.held, receiving.limit
+        )
+        request = Request(self.server, self)
+        request.simple_response(
+            "503 Service Unavailable",
+            "The requests being received hold all memory set aside for them.",
+        )
+
     def _write_deferred(
         self, request: Request, exchange: exchanges.Exchange
     ) -> bool:
--- a/packages/daemon/src/sardinerouted/web/httpmetrics.py
+++ b/packages/daemon/src/sardinerouted/web/httpmetrics.py
@@ -30,6 +30,15 @@
     "sardineroute_http_requests_in_flight",
     "Requests that are being read, processed or answered.",
 )
+_REFUSED = prometheus_client.Counter(
+    "sardineroute_http_refused",
+    "Requests and connections refused at a limit of the server, by its key.",
+    ["limit"],
+)
+_RECEIVING_BYTES = prometheus_client.Gauge(
+    "sardineroute_http_receiving_bytes",
+    "Bytes of requests that are being received or judged.",
+)
 
 
 def start_time_s() -> float:
@@ -57,9 +66,17 @@
     _RESPONSES.labels(known_method, path, str(status)).inc()
 
 
+def count_refused(limit: str) -> None:
+    """Counts a request or connection that is refused at a limit."""
+    _REFUSED.labels(limit).inc()
+
+
 def set_connection_gauges(
-    idle: Callable[[], int], in_flight: Callable[[], int]
+    idle: Callable[[], int],
+    in_flight: Callable[[], int],
+    receiving_bytes: Callable[[], int],
 ) -> None:
-    """Sets the functions that the connection gauges read on each scrape."""
+    """Sets the functions that the gauges read on each scrape."""
     _IDLE_CONNECTIONS.set_function(idle)
     _IN_FLIGHT.set_function(in_flight)
+    _RECEIVING_BYTES.set_function(receiving_bytes)
--- a/packages/daemon/src/sardinerouted/web/options.py
+++ b/packages/daemon/src/sardinerouted/web/options.py
@@ -24,6 +24,8 @@
             reached, a new connection closes the longest idle one.
         max_header_bytes: Largest size of the request line and headers.
         max_body_bytes: Largest size of a request's body.
+        max_receiving_bytes: Largest size of all requests that are being
+            received or judged.
         request_timeout_ms: Time within which a whole request must arrive.
         response_timeout_ms: Time within which the caller must accept a
             whole response.
@@ -40,6 +42,7 @@
     max_connections: int = 1_024
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    max_receiving_bytes: int = 33_554_432
     request_timeout_ms: int = 10_000
     response_timeout_ms: int = 30_000
     idle_timeout_ms: int = 75_000
@@ -56,6 +59,7 @@
         listen_queue=options.listen_queue,
         max_connections=options.max_connections,
         max_body_bytes=options.max_body_bytes,
+        max_receiving_bytes=options.max_receiving_bytes,
         request_timeout_ms=options.request_timeout_ms,
         response_timeout_ms=options.response_timeout_ms,
         idle_timeout_ms=options.idle_timeout_ms,
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -10,10 +10,12 @@
 
 from sardineroute_core import clock
 from sardineroute_core import logs
+from sardinerouted import budget
 from sardinerouted.web import app as web_app
 from sardinerouted.web import connection
 from sardinerouted.web import lingering
 from sardinerouted.web import options as web_options
+from sardinerouted.web import refusals
 from sardinerouted.web import tls
 
 _STOP_POLL_MS = 5
@@ -111,6 +113,8 @@
     Attributes:
         options: Limits and timeouts.
         clock: Time source of the deadlines.
+        receiving: Bytes of requests that are being received or judged.
+        refusals: Counts what is refused at a limit of the server.
         draining: Whether each response closes its connection.
     """
 
@@ -124,6 +128,8 @@
         self.ConnectionClass.RequestHandlerClass = connection.Request
         self.options = options
         self.clock = time
+        self.receiving = budget.Budget(options.max_receiving_bytes)
+        self.refusals = refusals.Refusals(time)
         self.draining = False
         self.ready = False
         self.server_name = "sardineroute"
@@ -161,6 +167,10 @@
         """Returns the number of connections with an unanswered request."""
         return len(self._in_flight)
 
+    def receiving_bytes(self) -> int:
+        """Returns the bytes of requests that are being received or judged."""
+        return self.receiving.held
+
     def process_conn(self, conn: connection.Connection) -> None:
         """Queues a connection with a request for the thread pool.
 
--- a/packages/daemon/src/sardinerouted/web/sockets.py
+++ b/packages/daemon/src/sardinerouted/web/sockets.py
@@ -4,8 +4,11 @@
 import ssl
 
 from sardineroute_core import clock
+from sardinerouted import budget
 
-_READ_BYTES = 65_536
+_MAX_READ_BYTES = 65_536
+# Read at once while the size of the request isn't known.
+_MAX_LINES_READ_BYTES = 16_384
 # Total time per request that a thread waits for bytes still on their way.
 _MAX_THREAD_WAIT_MS = 10
 _CONTINUE = b"HTTP/1.1 100 "
@@ -19,6 +22,13 @@
     """
 
 
+class BudgetExceeded(BaseException):
+    """Raised when the bytes of a request may not be held.
+
+    It is a BaseException for the same reason as `IncompleteRequest`.
+    """
+
+
 class Reader:
     """Reads lines and blocks of one request at a time.
 
@@ -28,17 +38,27 @@
     the request is read again from its start. One deadline covers the whole
     request.
 
+    What it holds is taken from a budget that all connections share: a block
+    before any of it is received, the lines before it as they arrive. A block
+    is a body, whose size was checked against the limit for bodies.
+
     Attributes:
         bytes_read: Bytes returned so far, for cheroot's statistics.
         closed: Whether `close` was called.
     """
 
     def __init__(
-        self, connection: socket.socket, timeout_ms: int, time: clock.Clock
+        self,
+        connection: socket.socket,
+        timeout_ms: int,
+        receiving: budget.Budget,
+        time: clock.Clock,
     ) -> None:
         self._socket = connection
         self._timeout_ms = timeout_ms
+        self._receiving = receiving
         self._clock = time
+        self._held_bytes = 0
         self._buffer = bytearray()
         self._position = 0
         self._deadline_ms: int | None = None
@@ -68,9 +88,11 @@
 
     def finish_request(self) -> None:
         """Drops the bytes of the request; the rest is the next request."""
-        del self._buffer[: self._position]
+        # Deleting the bytes in place would keep the memory of a large request.
+        self._buffer = self._buffer[self._position :]
         self._position = 0
         self._deadline_ms = None
+        self._release(len(self._buffer))
 
     def has_data(self) -> bool:
         """Returns whether bytes of the next request have arrived."""
@@ -88,6 +110,7 @@
         Returns what is left if the caller closes the connection first.
 
         Raises:
+            BudgetExceeded: The bytes received may not be held.
             IncompleteRequest: The bytes have not arrived yet.
             TimeoutError: The bytes did not arrive before the deadline.
         """
@@ -96,23 +119,28 @@
             length = found + 1 - self._position if found >= 0 else size + 1
             if length <= size or self.available >= size:
                 return self._consume(min(length, size))
-            if not self._fill():
+            if not self._fill(_MAX_LINES_READ_BYTES):
                 return self._consume(self.available)
 
     def read(self, size: int) -> bytes:
         """Returns `size` bytes, or fewer if the caller closes first.
 
         Raises:
+            BudgetExceeded: So many bytes may not be held.
             IncompleteRequest: The bytes have not arrived yet.
             TimeoutError: The bytes did not arrive before the deadline.
         """
-        while self.available < size and self._fill():
+        self._hold(self._position + size)
+        while self.available < size and self._fill(size - self.available):
             pass
         return self._consume(min(size, self.available))
 
     def close(self) -> None:
-        """Stops receiving from the socket."""
+        """Stops receiving from the socket and drops what was received."""
         self.closed = True
+        self._buffer = bytearray()
+        self._position = 0
+        self._release(0)
 
     def _consume(self, size: int) -> bytes:
         end = self._position + size
@@ -121,36 +149,52 @@
         self.bytes_read += size
         return data
 
-    def _fill(self) -> bool:
+    def _hold(self, size_bytes: int) -> None:
+        """Takes what the first `size_bytes` of the buffer need."""
+        missing_bytes = size_bytes - self._held_bytes
+        if missing_bytes <= 0:
+            return
+        if not self._receiving.take(missing_bytes):
+            raise BudgetExceeded
+        self._held_bytes = size_bytes
+
+    def _release(self, size_bytes: int) -> None:
+        """Gives back all but what `size_bytes` need."""
+        self._receiving.give_back(self._held_bytes - size_bytes)
+        self._held_bytes = size_bytes
+
+    def _fill(self, limit_bytes: int) -> bool:
         """Receives more bytes; returns False at the end of the input."""
         if self.closed:
             return False
-        data = self._receive(0)
+        limit_bytes = min(limit_bytes, _MAX_READ_BYTES)
+        data = self._receive(0, limit_bytes)
         if data is None and not self.overdue:
             # The body usually follows the headers at once, so a short wait
             # costs less than reading the request again later.
-            data = self._receive_within_wait()
+            data = self._receive_within_wait(limit_bytes)
         if data is None and self.overdue:
             # cheroot recognizes timeouts by exactly this text.
             raise TimeoutError("timed out")
         if data is None:
             self._is_incomplete = True
             raise IncompleteRequest
+        self._hold(len(self._buffer) + len(data))
         self._buffer += data
         return bool(data)
 
-    def _receive_within_wait(self) -> bytes | None:
+    def _receive_within_wait(self, limit_bytes: int) -> bytes | None:
         if self._thread_wait_left_ms <= 0:
             return None
         start_ms = self._clock.now_ms()
-        data = self._receive(self._thread_wait_left_ms)
+        data = self._receive(self._thread_wait_left_ms, limit_bytes)
         self._thread_wait_left_ms -= self._clock.now_ms() - start_ms + 1
         return data
 
-    def _receive(self, wait_ms: int) -> bytes | None:
+    def _receive(self, wait_ms: int, limit_bytes: int) -> bytes | None:
         self._socket.settimeout(wait_ms / 1_000)
         try:
-            return self._socket.recv(_READ_BYTES)
+            return self._socket.recv(limit_bytes)
         except (BlockingIOError, TimeoutError, ssl.SSLWantReadError):
             return None
         except ssl.SSLError as error:
--- a/packages/standins/src/sardineroute_standins/layout.py
+++ b/packages/standins/src/sardineroute_standins/layout.py
@@ -4,6 +4,8 @@
 import hashlib
 import pathlib
 import secrets
+from collections.abc import Mapping
+from typing import Any
 
 import yaml
 
@@ -37,6 +39,7 @@
         queue: Number of tasks that a sidecar queues while all slots are busy.
         task_timeout_ms: Timeout of one task at its backend server.
         http_threads: Number of threads of each entry's HTTP server.
+        http: Further settings of the entries' HTTP servers, by key.
         silence_ms: Time without data after which a stream on which an answer
             is due is checked with a ping; after twice this time it is closed.
         ownership: Settings of partitions, leases and retention.
@@ -58,6 +61,7 @@
     queue: int = 4
     task_timeout_ms: int = 30_000
     http_threads: int = 16
+    http: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     silence_ms: int = 1_000
     ownership: settings.Ownership = settings.Ownership()
     drain_timeout_ms: int = 60_000
@@ -159,11 +163,12 @@
         model = settings.Entry.model_validate(
             {
                 **self._common_settings("entry", member),
-                "http": settings.Http(
-                    listen=address(member.http_port),
-                    threads=self._options.http_threads,
-                    tls=self._options.tls,
-                ),
+                "http": {
+                    "listen": address(member.http_port),
+                    "threads": self._options.http_threads,
+                    "tls": self._options.tls,
+                    **self._options.http,
+                },
                 "teams": [_token(name, teams[name]) for name in teams],
                 "operators": [_token("operator", self._secrets.operator_token)],
                 "peers": [
--- a/tests/hostedprocesses.py
+++ b/tests/hostedprocesses.py
@@ -10,8 +10,10 @@
 import sys
 import threading
 import time
+import types
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 from typing import Any
 
 import urllib3
@@ -99,7 +101,10 @@
 
 
 class Fleet:
-    """Entry processes, and a sidecar process for each worker."""
+    """Entry processes, and a sidecar process for each worker.
+
+    `http` has further settings of the entries' HTTP servers, by key.
+    """
 
     def __init__(
         self,
@@ -107,7 +112,9 @@
         directory: pathlib.Path,
         entries: int,
         workers: list[fakeworker.FakeWorker],
+        http: Mapping[str, Any] = types.MappingProxyType({}),
     ) -> None:
+        self._http = http
         self._store = store
         self._directory = directory
         self._workers = workers
@@ -331,7 +338,11 @@
                     "listen": self.address(name, "stream"),
                     "advertise": self.address(name, "link"),
                 },
-                "http": {"listen": self.address(name, "front"), "threads": 4},
+                "http": {
+                    "listen": self.address(name, "front"),
+                    "threads": 4,
+                    **self._http,
+                },
                 "readiness": self.address(name, "ready"),
                 "leave_rotation_ms": 300,
             }
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -11,6 +11,7 @@
 import typer.testing
 import urllib3
 
+import certificates
 from sardineroute import main
 from sardineroute_core import clock
 from sardineroute_core import errors
@@ -25,27 +26,13 @@
 LOOPBACK = "127.0.0.1"
 
 
-def _certificates(
-    authority: trustme.CA, folder: pathlib.Path, name: str
-) -> settings.Tls:
-    issued = authority.issue_cert(LOOPBACK)
-    certificate = folder / f"{name}.pem"
-    key = folder / f"{name}.key"
-    trusted = folder / f"{name}-authority.pem"
-    issued.private_key_pem.write_to_path(str(key))
-    for part in issued.cert_chain_pems:
-        part.write_to_path(str(certificate), append=True)
-    authority.cert_pem.write_to_path(str(trusted))
-    return settings.Tls(certificate=certificate, key=key, authority=trusted)
-
-
 @pytest.fixture(scope="module")
 def tls_fleet(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[fleet_module.Fleet]:
     """Runs a fleet that uses TLS for HTTP and for streams."""
     folder = tmp_path_factory.mktemp("tls")
-    tls = _certificates(trustme.CA(), folder, "fleet")
+    tls = certificates.issue(trustme.CA(), folder, "fleet")
     options = layout.Options(entries=2, backend_servers=1, tls=tls)
     fleet = fleet_module.Fleet(options, folder)
     try:
@@ -122,7 +109,7 @@
     if case == "no certificate":
         tls = None
     elif case == "foreign certificate":
-        foreign = _certificates(trustme.CA(), tmp_path, "foreign")
+        foreign = certificates.issue(trustme.CA(), tmp_path, "foreign")
         # The stranger trusts the fleet, but the fleet must not trust it.
         tls = foreign.model_copy(update={"authority": tls.authority})
     elif case == "wrong secret":
@@ -167,8 +154,8 @@
     tmp_path: pathlib.Path,
 ) -> None:
     authority = trustme.CA()
-    one = _certificates(authority, tmp_path, "one")
-    other = _certificates(authority, tmp_path, "other")
+    one = certificates.issue(authority, tmp_path, "one")
+    other = certificates.issue(authority, tmp_path, "other")
     for change, expected in (
         ({"key": other.key}, "its key in PEM form"),
         ({"key": tmp_path / "none"}, "a readable file"),
@@ -182,7 +169,7 @@
 def test_foreign_server_is_not_trusted(
     tls_fleet: fleet_module.Fleet, tmp_path: pathlib.Path
 ) -> None:
-    foreign = _certificates(trustme.CA(), tmp_path, "foreign")
+    foreign = certificates.issue(trustme.CA(), tmp_path, "foreign")
     url = tls_fleet.entry_urls_by_name["entry-1"]
     with (
         urllib3.PoolManager(ca_certs=str(foreign.authority)) as http,
