Bound what the kernel holds for callers that send while their job runs

What callers saw: the host ran out of memory, with little of it in the entry's own. 200 callers that sent a few bodies and then went on sending while their job ran had 100 MB and more in the kernel's buffers.

Cause: a request's connection isn't read until its response is written. The kernel lets the buffer of a connection that was read quickly grow, up to tcp_rmem's maximum (33 MB here).

--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -2,6 +2,7 @@
 
 import errno
 import queue
+import socket
 from typing import Any
 
 from cheroot import connections
@@ -155,6 +156,13 @@
     def prepare(self) -> None:
         """Opens the listening socket and starts the threads."""
         super().prepare()
+        # Accepted connections inherit it. Without it the kernel lets the buffer
+        # of a connection that is read quickly grow to several MB.
+        self.socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            self.options.receive_buffer_bytes,
+        )
         default_manager: Any = self._connections
         default_manager._selector.close()  # noqa: SLF001
         self._connections: Any = _ConnectionManager(self)
