Bound the open connections of callers, not only the idle ones

What callers saw: connections refused once the descriptors of an entry were used up by callers that wait for jobs.

Cause: http.max_connections counted idle connections. Those on which a request is read, judged or waits for its result were not counted. With no idle connection left to close, the accepting loop spun on EMFILE.

The one that has sent nothing for longest makes room; where a request is being handled on all of them a new connection is closed. Requests may wait on seven eighths of the connections; one more is refused with 503, so that others can still be answered at once. Counted as max_connections and waiting_requests.

--- a/packages/daemon/src/sardinerouted/web/app.py
+++ b/packages/daemon/src/sardinerouted/web/app.py
@@ -15,6 +15,9 @@
 from sardinerouted.web import responses
 from sardinerouted.web import routes
 
+# Delay after which a request that was refused at a limit may be repeated.
+_RETRY_AFTER_MS = 1_000
+
 IsReady = Callable[[], bool]
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -59,7 +62,9 @@
         outcome = _call_or_problem(lambda: handler.handle(request))
         if isinstance(outcome, routes.PendingResponse):
             exchange = environ.get(exchanges.ENVIRON_KEY)
-            if isinstance(exchange, exchanges.Exchange):
+            if not isinstance(exchange, exchanges.Exchange):
+                outcome = _wait_for_result(outcome)
+            elif exchange.may_defer():
                 pending = outcome
                 exchange.defer(
                     lambda result: observe(_respond(pending, result))
@@ -68,7 +73,9 @@
                     pending.call, pending.wait_ms, exchange.finish
                 )
                 return []
-            outcome = _wait_for_result(outcome)
+            else:
+                outcome.call.close()
+                outcome = responses.problem(_too_many_waiting_error())
         observe(outcome)
         start_response(outcome.status_line, outcome.all_headers())
         return [] if request.method == "HEAD" else [outcome.body]
@@ -76,6 +83,16 @@
     return app
 
 
+def _too_many_waiting_error() -> errors.Error:
+    return errors.Error(
+        errors.Kind.OVERLOADED,
+        "too many requests wait for their results here",
+        # It may be the repetition of a request that waits.
+        errors.Ran.UNKNOWN,
+        _RETRY_AFTER_MS,
+    )
+
+
 def _wait_for_result(pending: routes.PendingResponse) -> responses.Response:
     finished = threading.Event()
     results: list[exchanges.Result] = []
--- a/packages/daemon/src/sardinerouted/web/connection.py
+++ b/packages/daemon/src/sardinerouted/web/connection.py
@@ -40,7 +40,9 @@
     def respond(self) -> None:
         """Calls the application, which answers or defers the request."""
         request = self.req
-        exchange = exchanges.Exchange(request.conn.resume)
+        exchange = exchanges.Exchange(
+            request.conn.resume, request.server.may_defer
+        )
         self.env[exchanges.ENVIRON_KEY] = exchange
         self.env[requests.SOCKET_KEY] = request.conn.socket
         body = request.server.wsgi_app(self.env, self.start_response)
@@ -180,6 +182,7 @@
         # cheroot writes headers after any request whose `ready` is set.
         request.ready = False
         self._deferred = (request, exchange)
+        self.server.start_waiting(self)
 
     def release(self) -> None:
         """Releases the deferred exchange; called when its thread is done."""
@@ -192,13 +195,13 @@
 
     def close(self) -> None:
         """Closes the connection, after a lingering close if needed."""
-        self.server.on_connection_closed(self)
+        self.server.on_connection_closing(self)
         self.rfile.close()
         if self.needs_lingering_close and self.server.start_lingering_close(
             self
         ):
             return
-        super().close()
+        self._close_socket()
 
     def lingering_close(self) -> None:
         """Discards input until its end or a deadline, then closes."""
@@ -214,7 +217,13 @@
             # The caller reset the connection, or the time is up.
             pass
         finally:
+            self._close_socket()
+
+    def _close_socket(self) -> None:
+        try:
             super().close()
+        finally:
+            self.server.on_connection_closed(self)
 
     def _refuse_unheld(self) -> None:
         """Refuses a request whose bytes may not be held."""
@@ -232,6 +241,7 @@
         self, request: Request, exchange: exchanges.Exchange
     ) -> bool:
         self._deferred = None
+        self.server.end_waiting(self)
         try:
             request.write_response(exchange.response())
         except OSError as error:
--- a/packages/daemon/src/sardinerouted/web/exchanges.py
+++ b/packages/daemon/src/sardinerouted/web/exchanges.py
@@ -92,10 +92,19 @@
     A deferred exchange is released twice: by the thread that deferred it and
     by the event loop when the call has ended. The second release calls
     `resume`, so that no other thread writes the response too early.
+
+    Args:
+        resume: Called once the response can be written.
+        may_defer: Returns whether the server lets one more request wait.
     """
 
-    def __init__(self, resume: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        resume: Callable[[], None],
+        may_defer: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._resume = resume
+        self._may_defer = may_defer
         self._lock = threading.Lock()
         self._pending_releases = 2
         self._respond: Callable[[Result], responses.Response] | None = None
@@ -106,6 +115,10 @@
         """Returns whether the response has been deferred."""
         return self._respond is not None
 
+    def may_defer(self) -> bool:
+        """Returns whether the response may be deferred."""
+        return self._may_defer()
+
     def defer(self, respond: Callable[[Result], responses.Response]) -> None:
         """Defers the response; `respond` will render it from the result."""
         self._respond = respond
--- a/packages/daemon/src/sardinerouted/web/httpmetrics.py
+++ b/packages/daemon/src/sardinerouted/web/httpmetrics.py
@@ -32,7 +32,7 @@
 )
 _REFUSED = prometheus_client.Counter(
     "sardineroute_http_refused",
-    "Requests and connections refused at a limit of the server, by its key.",
+    "Requests and connections refused at a limit of the server, by limit.",
     ["limit"],
 )
 _RECEIVING_BYTES = prometheus_client.Gauge(
--- a/packages/daemon/src/sardinerouted/web/options.py
+++ b/packages/daemon/src/sardinerouted/web/options.py
@@ -20,8 +20,8 @@
         listen: Address to listen on.
         threads: Threads that read requests and write responses.
         listen_queue: Backlog of the listening socket.
-        max_connections: Largest number of idle connections. When it is
-            reached, a new connection closes the longest idle one.
+        max_connections: Largest number of connections. When it is reached, a
+            new connection closes the one that has sent nothing for longest.
         max_header_bytes: Largest size of the request line and headers.
         max_body_bytes: Largest size of a request's body.
         max_receiving_bytes: Largest size of all requests that are being
--- a/packages/daemon/src/sardinerouted/web/refusals.py
+++ b/packages/daemon/src/sardinerouted/web/refusals.py
@@ -15,6 +15,8 @@
 class Limit(enum.StrEnum):
     """A limit on what all connections of a server may hold together."""
 
+    CONNECTIONS = "max_connections"
+    WAITING = "waiting_requests"
     RECEIVING = "max_receiving_bytes"
 
 
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -3,6 +3,7 @@
 import errno
 import queue
 import socket
+import time
 from typing import Any
 
 from cheroot import connections
@@ -20,19 +21,29 @@
 from sardinerouted.web import tls
 
 _STOP_POLL_MS = 5
+# Share of the connections on which requests may wait for their results. The
+# others are kept for requests that are answered at once.
+_MAX_WAITING_SHARE = 0.875
+# Pause while there are no descriptors and no connection can be closed.
+_OUT_OF_DESCRIPTORS_PAUSE_MS = 10
 _OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
 _log = logs.get_logger("http")
 
 
 class _ConnectionManager(connections.ConnectionManager):  # type: ignore[misc]
-    """Holds idle connections; closes the longest idle one at the limit."""
+    """Holds the connections that wait for bytes of their callers.
 
-    def put(self, conn: connection.Connection) -> None:
-        """Adds an idle connection, to wait for its next request."""
-        if conn.last_used is None:
-            self._evict_if_full()
-        super().put(conn)
+    Keeps the number of open connections within its limit.
+    """
+
+    def add(self, conn: connection.Connection) -> None:
+        """Adds a new connection, or closes it if there is no room for it."""
+        if not self._make_room():
+            self.server.refuse_connection()
+            conn.close()
+            return
+        self.put(conn)
 
     def accept_pending(self) -> None:
         """Accepts all connections in the listen backlog.
@@ -44,7 +55,7 @@
             conn = self._from_server_socket(self.server.socket)
             if conn is None:
                 return
-            self.put(conn)
+            self.server.process_conn(conn)
 
     def take_readable(self, timeout_s: float) -> list[connection.Connection]:
         """Returns idle connections on which a request has begun to arrive.
@@ -88,24 +99,36 @@
                 "Out of file descriptors; closing the longest idle connection.",
                 why=str(error),
             )
-            self._close_longest_idle()
+            if not self._close_longest_idle():
+                # The listening socket stays readable.
+                time.sleep(_OUT_OF_DESCRIPTORS_PAUSE_MS / 1_000)
             return None
 
-    def _evict_if_full(self) -> None:
-        if self._num_connections >= self.server.options.max_connections:
-            self._close_longest_idle()
+    def _make_room(self) -> bool:
+        """Closes connections until there is room; returns whether there is."""
+        limit = self.server.options.max_connections
+        while self.server.open_count() > limit:
+            if not self._close_longest_idle():
+                return False
+        return True
 
-    def _close_longest_idle(self) -> None:
-        # The selector lists connections in the order they became idle.
-        idle = [
+    def _close_longest_idle(self) -> bool:
+        """Closes the connection that has sent nothing for longest.
+
+        Returns False if a request is being handled on each connection.
+        """
+        # The selector lists connections in the order they began to wait.
+        waiting = [
             item
             for item in self._selector.connections
             if item[1] is not self.server
         ]
-        if idle:
-            descriptor, longest_idle = idle[0]
-            self._selector.unregister(descriptor)
-            longest_idle.close()
+        if not waiting:
+            return False
+        descriptor, longest_idle = waiting[0]
+        self._selector.unregister(descriptor)
+        longest_idle.close()
+        return True
 
 
 class Server(_cpwsgi_server.CPWSGIServer):  # type: ignore[misc]
@@ -122,15 +145,18 @@
     ConnectionClass = connection.Connection
 
     def __init__(
-        self, adapter: Any, options: web_options.Options, time: clock.Clock
+        self,
+        adapter: Any,
+        options: web_options.Options,
+        time_source: clock.Clock,
     ) -> None:
         super().__init__(adapter)
         # CPWSGIServer's constructor sets cherrypy's own request class.
         self.ConnectionClass.RequestHandlerClass = connection.Request
         self.options = options
-        self.clock = time
+        self.clock = time_source
         self.receiving = budget.Budget(options.max_receiving_bytes)
-        self.refusals = refusals.Refusals(time)
+        self.refusals = refusals.Refusals(time_source)
         self.draining = False
         self.ready = False
         self.server_name = "sardineroute"
@@ -144,6 +170,8 @@
         request_queue: queue.SimpleQueue[Any] = queue.SimpleQueue()
         self.requests._queue = request_queue  # noqa: SLF001
         self.requests.get = request_queue.get
+        self._open: set[connection.Connection] = set()
+        self._waiting: set[connection.Connection] = set()
         self._in_flight: set[connection.Connection] = set()
         self._incomplete: set[connection.Connection] = set()
         self._lingering_closer = lingering.LingeringCloser()
@@ -175,6 +203,29 @@
         """Returns the number of connections with an unanswered request."""
         return len(self._in_flight)
 
+    def open_count(self) -> int:
+        """Returns the number of open connections."""
+        return len(self._open)
+
+    def may_defer(self) -> bool:
+        """Returns whether one more request may wait for its result.
+
+        The last connections are kept for requests that are answered at once.
+        """
+        limit = int(self.options.max_connections * _MAX_WAITING_SHARE)
+        waiting = len(self._waiting)
+        if waiting < max(1, limit):
+            return True
+        self.refusals.record(refusals.Limit.WAITING, waiting, limit)
+        return False
+
+    def refuse_connection(self) -> None:
+        """Records that a connection is closed because of the limit."""
+        limit = self.options.max_connections
+        self.refusals.record(
+            refusals.Limit.CONNECTIONS, self.open_count() - 1, limit
+        )
+
     def receiving_bytes(self) -> int:
         """Returns the bytes of requests that are being received or judged."""
         return self.receiving.held
@@ -186,12 +237,21 @@
         so that a caller that sends nothing holds no thread.
         """
         if conn.last_used is None:
-            self._connections.put(conn)
+            self._open.add(conn)
+            self._connections.add(conn)
             return
         self._incomplete.discard(conn)
         self._in_flight.add(conn)
         self.requests.put(conn)
 
+    def start_waiting(self, conn: connection.Connection) -> None:
+        """Counts a request as waiting for its result."""
+        self._waiting.add(conn)
+
+    def end_waiting(self, conn: connection.Connection) -> None:
+        """Stops counting a request whose result is known."""
+        self._waiting.discard(conn)
+
     def put_conn(self, conn: connection.Connection) -> None:
         """Takes back a connection that a thread has finished working on."""
         if conn.deferred:
@@ -205,10 +265,15 @@
         self._in_flight.discard(conn)
         super().put_conn(conn)
 
-    def on_connection_closed(self, conn: connection.Connection) -> None:
+    def on_connection_closing(self, conn: connection.Connection) -> None:
         """Stops counting the requests of a connection that is closing."""
         self._in_flight.discard(conn)
         self._incomplete.discard(conn)
+        self._waiting.discard(conn)
+
+    def on_connection_closed(self, conn: connection.Connection) -> None:
+        """Stops counting a connection whose socket is closed."""
+        self._open.discard(conn)
 
     def start_lingering_close(self, conn: connection.Connection) -> bool:
         """Queues a lingering close; returns False if there are too many."""
