Write responses without holding threads

What callers saw: an entry answered nobody. Two callers that read no responses, or two TLS callers that stopped in the middle of their handshake, were enough at http.threads 2; four on the users' platform.

Cause: a response was written by a thread that waited up to http.response_timeout_ms for the caller. A request that never ended was answered with 408 in the same way: on a connection whose TLS handshake isn't finished, writing waits for the rest of the handshake.

Change: a thread sends what the socket takes. The rest is sent when the socket is ready, on any thread, until the response timeout. What is kept is bounded by http.max_unsent_bytes (32 MiB, 4 MiB on a platform); beyond it the connection is closed. An error after which the connection is closed is sent once and not kept.

New: a response that is read slowly arrives whole.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -129,6 +129,7 @@
     max_connections: Annotated[int, pydantic.Field(ge=1)] = 1_024
     max_body_bytes: Annotated[int, pydantic.Field(ge=1)] = 4_194_304
     max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 33_554_432
+    max_unsent_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 33_554_432
     receive_buffer_bytes: Annotated[int, pydantic.Field(ge=4_096)] = 32_768
     request_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 10_000
     response_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 30_000
@@ -140,6 +141,7 @@
     """The HTTP server of an entry on a platform, whose jobs are small."""
 
     max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 8_388_608
+    max_unsent_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 4_194_304
     receive_buffer_bytes: Annotated[int, pydantic.Field(ge=4_096)] = 16_384
 
 
--- a/packages/daemon/src/sardinerouted/httpd.py
+++ b/packages/daemon/src/sardinerouted/httpd.py
@@ -70,6 +70,7 @@
                 server.idle_count,
                 server.in_flight_count,
                 server.receiving_bytes,
+                server.unsent_bytes,
             )
             _State.main_server = server
         adapter.instance = server
--- a/packages/daemon/src/sardinerouted/web/connection.py
+++ b/packages/daemon/src/sardinerouted/web/connection.py
@@ -126,6 +126,9 @@
         except OSError:
             # The caller has disconnected.
             return
+        # The connection is closed. It isn't kept for a caller that takes
+        # nothing or has not finished its TLS handshake.
+        self.conn.wfile.discard()
 
 
 class Connection(cheroot_server.HTTPConnection):  # type: ignore[misc]
@@ -149,10 +152,16 @@
             server.receiving,
             server.clock,
         )
-        self.wfile = sockets.Writer(connection, options.response_timeout_ms)
+        self.wfile = sockets.Writer(
+            connection,
+            options.response_timeout_ms,
+            server.unsent,
+            server.clock,
+        )
         self.needs_lingering_close = False
         self.is_incomplete = False
         self._deferred: tuple[Request, exchanges.Exchange] | None = None
+        self._is_kept_open = False
 
     @property
     def deferred(self) -> bool:
@@ -161,15 +170,32 @@
 
     def communicate(self) -> bool:
         """Serves one request; returns whether to keep the connection open."""
-        if self._deferred is not None:
-            return self._write_deferred(*self._deferred)
+        try:
+            if self.wfile.has_unsent:
+                self.wfile.send_rest()
+            elif self._deferred is not None:
+                self._is_kept_open = self._write_deferred(*self._deferred)
+            else:
+                self._is_kept_open = self._serve_request()
+        except sockets.SendingRefused:
+            unsent = self.server.unsent
+            self.server.refusals.record(
+                refusals.Limit.UNSENT, unsent.held, unsent.limit
+            )
+            return False
+        except OSError as error:
+            _log.info("The caller disconnected.", why=str(error))
+            return False
+        return self._is_kept_open or self.wfile.has_unsent
+
+    def _serve_request(self) -> bool:
         self.rfile.start_request()
         try:
             keep_open = super().communicate()
         except sockets.IncompleteRequest:
             self.is_incomplete = True
             return True
-        except sockets.BudgetExceeded:
+        except sockets.ReceivingRefused:
             self._refuse_unheld()
             return False
         self.is_incomplete = False
@@ -197,6 +223,7 @@
         """Closes the connection, after a lingering close if needed."""
         self.server.on_connection_closing(self)
         self.rfile.close()
+        self.wfile.discard()
         if self.needs_lingering_close and self.server.start_lingering_close(
             self
         ):
--- a/packages/daemon/src/sardinerouted/web/httpmetrics.py
+++ b/packages/daemon/src/sardinerouted/web/httpmetrics.py
@@ -39,6 +39,10 @@
     "sardineroute_http_receiving_bytes",
     "Bytes of requests that are being received or judged.",
 )
+_UNSENT_BYTES = prometheus_client.Gauge(
+    "sardineroute_http_unsent_bytes",
+    "Bytes of responses that callers have not taken yet.",
+)
 
 
 def start_time_s() -> float:
@@ -75,8 +79,10 @@
     idle: Callable[[], int],
     in_flight: Callable[[], int],
     receiving_bytes: Callable[[], int],
+    unsent_bytes: Callable[[], int],
 ) -> None:
     """Sets the functions that the gauges read on each scrape."""
     _IDLE_CONNECTIONS.set_function(idle)
     _IN_FLIGHT.set_function(in_flight)
     _RECEIVING_BYTES.set_function(receiving_bytes)
+    _UNSENT_BYTES.set_function(unsent_bytes)
--- a/packages/daemon/src/sardinerouted/web/options.py
+++ b/packages/daemon/src/sardinerouted/web/options.py
@@ -26,6 +26,8 @@
         max_body_bytes: Largest size of a request's body.
         max_receiving_bytes: Largest size of all requests that are being
             received or judged.
+        max_unsent_bytes: Largest size of all responses that callers have not
+            taken yet.
         receive_buffer_bytes: Size of the kernel's buffer for the bytes that a
             connection has received and that are not read yet.
         request_timeout_ms: Time within which a whole request must arrive.
@@ -45,6 +47,7 @@
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     max_receiving_bytes: int = 33_554_432
+    max_unsent_bytes: int = 33_554_432
     receive_buffer_bytes: int = 32_768
     request_timeout_ms: int = 10_000
     response_timeout_ms: int = 30_000
@@ -63,6 +66,7 @@
         max_connections=options.max_connections,
         max_body_bytes=options.max_body_bytes,
         max_receiving_bytes=options.max_receiving_bytes,
+        max_unsent_bytes=options.max_unsent_bytes,
         receive_buffer_bytes=options.receive_buffer_bytes,
         request_timeout_ms=options.request_timeout_ms,
         response_timeout_ms=options.response_timeout_ms,
--- a/packages/daemon/src/sardinerouted/web/refusals.py
+++ b/packages/daemon/src/sardinerouted/web/refusals.py
@@ -18,6 +18,7 @@
     CONNECTIONS = "max_connections"
     WAITING = "waiting_requests"
     RECEIVING = "max_receiving_bytes"
+    UNSENT = "max_unsent_bytes"
 
 
 class Refusals:
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -2,6 +2,7 @@
 
 import errno
 import queue
+import selectors
 import socket
 import time
 from typing import Any
@@ -45,6 +46,14 @@
             return
         self.put(conn)
 
+    def put_sending(self, conn: connection.Connection) -> None:
+        """Adds a connection whose caller has not taken a whole response."""
+        event = selectors.EVENT_WRITE
+        if conn.wfile.waits_to_read:
+            event = selectors.EVENT_READ
+        conn.last_used = time.time()
+        self._selector.register(conn.socket.fileno(), event, data=conn)
+
     def accept_pending(self) -> None:
         """Accepts all connections in the listen backlog.
 
@@ -73,9 +82,18 @@
     def _expire(self, threshold: float) -> None:
         """Closes connections that are idle too long; queues overdue requests.
 
-        The thread that reads an overdue request answers it with a timeout.
+        The thread that reads an overdue request answers it with a timeout. A
+        connection whose caller doesn't take a response is closed.
         """
         super()._expire(threshold)
+        stuck = [
+            item
+            for item in self._selector.connections
+            if item[1] is not self.server and item[1].wfile.overdue
+        ]
+        for descriptor, conn in stuck:
+            self._selector.unregister(descriptor)
+            conn.close()
         overdue = [
             item
             for item in self._selector.connections
@@ -138,6 +156,7 @@
         options: Limits and timeouts.
         clock: Time source of the deadlines.
         receiving: Bytes of requests that are being received or judged.
+        unsent: Bytes of responses that callers have not taken yet.
         refusals: Counts what is refused at a limit of the server.
         draining: Whether each response closes its connection.
     """
@@ -156,6 +175,8 @@
         self.options = options
         self.clock = time_source
         self.receiving = budget.Budget(options.max_receiving_bytes)
+        # Ordinary responses fit into the kernel's buffers and need none of it.
+        self.unsent = budget.Budget(options.max_unsent_bytes, share=1.0)
         self.refusals = refusals.Refusals(time_source)
         self.draining = False
         self.ready = False
@@ -230,6 +251,10 @@
         """Returns the bytes of requests that are being received or judged."""
         return self.receiving.held
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes of responses that callers have not taken yet."""
+        return self.unsent.held
+
     def process_conn(self, conn: connection.Connection) -> None:
         """Queues a connection with a request for the thread pool.
 
@@ -262,6 +287,9 @@
             self._in_flight.discard(conn)
             self._connections.put(conn)
             return
+        if conn.wfile.has_unsent:
+            self._connections.put_sending(conn)
+            return
         self._in_flight.discard(conn)
         super().put_conn(conn)
 
--- a/packages/daemon/src/sardinerouted/web/sockets.py
+++ b/packages/daemon/src/sardinerouted/web/sockets.py
@@ -1,5 +1,6 @@
 """Buffered reading and writing of HTTP connections, with deadlines."""
 
+import errno
 import socket
 import ssl
 
@@ -22,13 +23,20 @@
     """
 
 
-class BudgetExceeded(BaseException):
+class ReceivingRefused(BaseException):
     """Raised when the bytes of a request may not be held.
 
     It is a BaseException for the same reason as `IncompleteRequest`.
     """
 
 
+class SendingRefused(BaseException):
+    """Raised when the unsent bytes of a response may not be held.
+
+    It is a BaseException for the same reason as `IncompleteRequest`.
+    """
+
+
 class Reader:
     """Reads lines and blocks of one request at a time.
 
@@ -110,7 +118,7 @@
         Returns what is left if the caller closes the connection first.
 
         Raises:
-            BudgetExceeded: The bytes received may not be held.
+            ReceivingRefused: The bytes received may not be held.
             IncompleteRequest: The bytes have not arrived yet.
             TimeoutError: The bytes did not arrive before the deadline.
         """
@@ -126,7 +134,7 @@
         """Returns `size` bytes, or fewer if the caller closes first.
 
         Raises:
-            BudgetExceeded: So many bytes may not be held.
+            ReceivingRefused: So many bytes may not be held.
             IncompleteRequest: The bytes have not arrived yet.
             TimeoutError: The bytes did not arrive before the deadline.
         """
@@ -155,7 +163,7 @@
         if missing_bytes <= 0:
             return
         if not self._receiving.take(missing_bytes):
-            raise BudgetExceeded
+            raise ReceivingRefused
         self._held_bytes = size_bytes
 
     def _release(self, size_bytes: int) -> None:
@@ -204,16 +212,43 @@
 class Writer:
     """Writes whole responses; sends headers and body in one write.
 
+    It never blocks: what the caller doesn't take at once is kept, and sent by
+    `send_rest` when the socket is ready. What it keeps is taken from a budget
+    that all connections share.
+
     Attributes:
         bytes_written: Bytes written so far, for cheroot's statistics.
+        waits_to_read: Whether TLS has to receive before it can send.
     """
 
-    def __init__(self, connection: socket.socket, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        timeout_ms: int,
+        unsent: budget.Budget,
+        time: clock.Clock,
+    ) -> None:
         self._socket = connection
-        self._timeout_s = timeout_ms / 1_000
+        self._timeout_ms = timeout_ms
+        self._budget = unsent
+        self._clock = time
         self._buffered: list[bytes] | None = None
         self._continue_sent = False
+        self._unsent = memoryview(b"")
+        self._held_bytes = 0
+        self._deadline_ms = 0
         self.bytes_written = 0
+        self.waits_to_read = False
+
+    @property
+    def has_unsent(self) -> bool:
+        """Returns whether a part of a response is still to be sent."""
+        return bool(self._unsent)
+
+    @property
+    def overdue(self) -> bool:
+        """Returns whether the caller has not taken a response in time."""
+        return self.has_unsent and self._clock.now_ms() >= self._deadline_ms
 
     def start_request(self) -> None:
         """Resets the state that belongs to one request."""
@@ -233,7 +268,7 @@
         """Sends all bytes, or buffers them after `start_buffering`.
 
         Raises:
-            TimeoutError: The caller did not accept the bytes in time.
+            SendingRefused: The bytes that can't be sent yet may not be held.
         """
         if data.startswith(_CONTINUE) and self._continue_sent:
             # When an incomplete request is read again, cheroot writes its
@@ -243,7 +278,48 @@
         if self._buffered is not None:
             self._buffered.append(data)
             return len(data)
-        self._socket.settimeout(self._timeout_s)
-        self._socket.sendall(data)
-        self.bytes_written += len(data)
+        if self._unsent:
+            data = bytes(self._unsent) + data
+        self._unsent = memoryview(data)
+        self._deadline_ms = self._clock.now_ms() + self._timeout_ms
+        self.send_rest()
+        # A view of a part keeps all of the bytes.
+        missing_bytes = len(data) - self._held_bytes
+        if self._unsent and missing_bytes > 0:
+            if not self._budget.take(missing_bytes):
+                self.discard()
+                raise SendingRefused
+            self._held_bytes += missing_bytes
         return len(data)
+
+    def send_rest(self) -> None:
+        """Sends what the caller takes at once."""
+        while self._unsent:
+            sent = self._send(self._unsent)
+            if not sent:
+                return
+            self.bytes_written += sent
+            self._unsent = self._unsent[sent:]
+        self.discard()
+
+    def discard(self) -> None:
+        """Drops what has not been sent."""
+        self._unsent = memoryview(b"")
+        self._budget.give_back(self._held_bytes)
+        self._held_bytes = 0
+
+    def _send(self, data: memoryview) -> int:
+        """Sends bytes; returns 0 if the socket is not ready."""
+        self._socket.settimeout(0)
+        self.waits_to_read = False
+        try:
+            return self._socket.send(data)
+        except ssl.SSLWantReadError:
+            self.waits_to_read = True
+            return 0
+        except (BlockingIOError, ssl.SSLWantWriteError):
+            return 0
+        except ssl.SSLError as error:
+            raise ConnectionResetError(
+                errno.ECONNRESET, f"TLS failed: {error}"
+            ) from error
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -192,16 +192,43 @@
 
 
 def test_response_that_is_not_read_is_aborted(start: Start) -> None:
-    server = start(options.Options(LISTEN, threads=2, response_timeout_ms=300))
+    server = start(
+        options.Options(
+            LISTEN,
+            threads=2,
+            response_timeout_ms=300,
+            max_unsent_bytes=3 * LARGE_BODY_BYTES,
+        )
+    )
     stuck = [RawConnection(server) for _ in range(2)]
     for connection in stuck:
         connection.get("/big")
     after = RawConnection(server)
     after.get("/now")
     assert after.receive() == (200, "now")
-    status, body = stuck[0].receive()
-    assert status == 200
-    assert len(body) < LARGE_BODY_BYTES
+    end_s = time.monotonic() + TIMEOUT_S
+    while server.in_flight_count():
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
+    assert server.unsent_bytes() == 0
+    for connection in stuck:
+        status, body = connection.receive()
+        assert status == 200
+        assert len(body) < LARGE_BODY_BYTES
+
+
+def test_response_that_is_read_slowly_arrives_whole(start: Start) -> None:
+    server = start(options.Options(LISTEN, threads=2))
+    slow = RawConnection(server)
+    slow.get("/big")
+    for _ in range(20):
+        after = RawConnection(server)
+        after.get("/now")
+        assert after.receive() == (200, "now")
+    status, body = slow.receive()
+    assert (status, len(body)) == (200, LARGE_BODY_BYTES)
+    slow.get("/now")
+    assert slow.receive() == (200, "now")
 
 
 def test_new_connection_closes_the_longest_idle_one(start: Start) -> None:
