Bound what a job on a platform may be

What callers saw: an entry that answered nobody, after one caller's jobs of a few hundred kB. A job's payload and traceparent were sent with each of its up to 1,700 tasks (a payload of 240 kB that compresses well was unpacked 1,700 times at the sidecar), dependencies between steps were looked at whenever a task ended, and a body of 4 MB of small values was parsed.

Cause: a body could have 4 MiB, and nothing but the number of tasks was checked.

Change: http.max_body_bytes is 256 KiB on a platform; jobs.max_payload_bytes (4,000), jobs.max_tasks (1,700, a constant before) and jobs.max_dependencies (4,096) are settings; a label has 256 characters at most, as those of workers. Beyond them a job is refused with 413 (too many tasks: 400 before). A malformed traceparent is ignored, as in the product's own fleet.

--- a/packages/core/src/sardineroute_core/hosting.py
+++ b/packages/core/src/sardineroute_core/hosting.py
@@ -18,7 +18,7 @@
 # Ids are sent in HTTP headers.
 _WORKER_ID = re.compile(r"[!-~]{1,128}")
 _MAX_LABELS = 64
-_MAX_NAME_CHARS = 256
+MAX_NAME_CHARS = 256
 # Larger integers don't fit into the messages between our processes.
 _MAX_INTEGER = 2**53
 
@@ -182,7 +182,7 @@
     """Returns whether a value is a string that can name something."""
     return (
         isinstance(value, str)
-        and 0 < len(value) <= _MAX_NAME_CHARS
+        and 0 < len(value) <= MAX_NAME_CHARS
         and value.isprintable()
     )
 
@@ -303,7 +303,8 @@
         evacuation_request: Decodes a record of the configuration stream;
             returns None if it is about something else, and raises
             `UnusableRecord` if it names no failure domain.
-        callers: Returns the HTTP handler of the callers' requests.
+        callers: Returns the HTTP handler of the callers' requests, given the
+            scheduler, the executor and the limits of jobs.
         workers: Returns the HTTP handler of the worker's requests to its
             sidecar.
         readiness: Returns the HTTP handler of the load balancer's requests.
--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -140,6 +140,7 @@
 class HostedHttp(Http):
     """The HTTP server of an entry on a platform, whose jobs are small."""
 
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1)] = 262_144
     max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 8_388_608
     max_unsent_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 4_194_304
     receive_buffer_bytes: Annotated[int, pydantic.Field(ge=4_096)] = 16_384
@@ -300,6 +301,14 @@
         )
 
 
+class JobLimits(_Section):
+    """What a job may be, and what all jobs at an entry may hold together."""
+
+    max_payload_bytes: Annotated[int, pydantic.Field(ge=1)] = 4_000
+    max_tasks: Annotated[int, pydantic.Field(ge=1)] = 1_700
+    max_dependencies: Annotated[int, pydantic.Field(ge=0)] = 4_096
+
+
 class HostedEntry(_Hosted):
     """Settings of `sardinerouted entry` on a platform.
 
@@ -311,6 +320,7 @@
 
     role: Literal["entry"]
     http: HostedHttp
+    jobs: JobLimits = JobLimits()
     readiness: Address
     leave_rotation_ms: Annotated[int, pydantic.Field(ge=0)] = 2_500
     far_factor: Annotated[float, pydantic.Field(ge=1.0)] = 1.0
--- a/packages/core/src/sardineroute_core/traces.py
+++ b/packages/core/src/sardineroute_core/traces.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import pathlib
+import re
 import time
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -26,6 +27,7 @@
 _HEADER = "traceparent"
 _EXPORT_DELAY_MS = 500
 _NO_ATTRIBUTES: Attributes = {}
+_TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 
 _propagator = tracecontext.TraceContextTextMapPropagator()
 
@@ -88,6 +90,14 @@
     _Tracing.tracer = None
 
 
+def valid_parent(text: str) -> str:
+    """Returns a caller's `traceparent`, or an empty string if it is malformed.
+
+    W3C Trace Context specifies that a malformed one is ignored.
+    """
+    return text if _TRACEPARENT.fullmatch(text) else ""
+
+
 def enabled() -> bool:
     """Returns whether tracing is on."""
     return _Tracing.tracer is not None
--- a/packages/daemon/src/sardinerouted/entry/callers/parsing.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/parsing.py
@@ -7,13 +7,13 @@
 from sardineroute_core import errors
 from sardineroute_core import ids
 from sardineroute_core import policy
+from sardineroute_core import traces
 from sardinerouted.entry.jobs import jobs
 from sardinerouted.web import requests
 
 MAX_TASKS = 1_700
 MAX_KEY_CHARS = 128
 
-_TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 _KEY = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?")
 
 
@@ -49,7 +49,7 @@
         kind=job_body.kind,
         tasks=tuple(bytes(task) for task in job_body.tasks),
         timeout_ms=timeout_ms,
-        traceparent=_valid_traceparent(request.header("traceparent")),
+        traceparent=traces.valid_parent(request.header("traceparent")),
     )
 
 
@@ -81,11 +81,6 @@
     return key
 
 
-def _valid_traceparent(text: str) -> str:
-    # A malformed traceparent is ignored, as W3C Trace Context specifies.
-    return text if _TRACEPARENT.fullmatch(text) else ""
-
-
 def _parse(body: bytes) -> _JobBody:
     try:
         job_body = _decoder.decode(body)
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -155,7 +155,7 @@
     is_ready: web_app.IsReady,
 ) -> None:
     loop_executor = exchanges.LoopExecutor(asyncio.get_running_loop())
-    callers = adapter.callers(scheduler, loop_executor)
+    callers = adapter.callers(scheduler, loop_executor, options.jobs)
     readiness = adapter.readiness(is_ready)
     metrics = routes.Router(
         [
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -16,8 +16,9 @@
 
 import urllib3
 
-# Memory of the smallest host that an entry runs on.
+# Memory of the smallest host that an entry runs on, and of a sidecar's.
 HOST_BYTES = 160_000_000
+SIDECAR_HOST_BYTES = 168_000_000
 _MEGABYTE = 1_000_000
 _CONNECT_TIMEOUT_S = 20.0
 # A connection that takes no byte for this long is taken to be full.
@@ -35,6 +36,7 @@
     Attributes:
         port: The port on loopback.
         pid: The id of the entry's process.
+        sidecar_pid: The id of a sidecar's process.
         tls: How to wrap connections; None without TLS.
         head: The request line and headers of a submission, without the blank
             line and without a header about the length of the body.
@@ -46,6 +48,7 @@
 
     port: int
     pid: int
+    sidecar_pid: int
     tls: ssl.SSLContext | None
     head: Callable[[], str]
     refused_job: bytes
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,6 +12,7 @@
 import samples
 from sardineroute_core import errors
 from sardineroute_core import hosting
+from sardineroute_core import settings
 from sardineroute_core import work
 from sardineroute_platform import callers
 from sardineroute_platform import heartbeats
@@ -104,8 +105,14 @@
             decode(body)
 
 
+def decode_job(job: Any, wait_ms: int = 1) -> work.Request:
+    """Decodes a job within the default limits."""
+    body = json.dumps(job).encode()
+    return callers.decode("0" * 16, body, wait_ms, settings.JobLimits())
+
+
 def test_job_is_decoded() -> None:
-    job = callers.decode("0" * 16, json.dumps(samples.JOB).encode(), 1_900)
+    job = decode_job(samples.JOB, 1_900)
     assert job.payload == "text"
     assert job.wait_ms == 1_900
     assert job.steps == (work.Step(2, work.Size(500, 64, 0), 90),)
@@ -122,9 +129,7 @@
 )
 def test_unsupported_job_is_refused_as_not_run(change: Any) -> None:
     with pytest.raises(errors.Error) as raised:
-        callers.decode(
-            "0" * 16, json.dumps({**samples.JOB, **change}).encode(), 1
-        )
+        decode_job({**samples.JOB, **change})
     assert raised.value.ran is errors.Ran.NO
     assert errors.REPORTS_BY_KIND[raised.value.kind].status == 503
 
@@ -138,16 +143,41 @@
         {"steps": [{"count": "2"}]},
         {"steps": [{"after": ["x"]}]},
         {"steps": [{"after": [0]}]},
-        {"steps": [{"count": 1_701}]},
+        {"steps": [{"count": 1}] * 1_701},
         {"steps": [{"count": 0}]},
         {"spec": 3},
     ],
 )
 def test_malformed_job_is_refused(change: Any) -> None:
     with pytest.raises(hosting.UnusableRecord):
-        callers.decode(
-            "0" * 16, json.dumps({**samples.JOB, **change}).encode(), 1
-        )
+        decode_job({**samples.JOB, **change})
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"spec": "\u00e9" * 2_001},
+        {"steps": [{"count": 1_701}]},
+        {"steps": [{"count": 850}, {"count": 851}]},
+        {"steps": [{"count": 1}, {"count": 1, "after": [0] * 4_097}]},
+        {"steps": [{"count": 1, "requires": "x" * 257}]},
+        {"steps": [{"count": 1, "affinity": "x" * 257}]},
+    ],
+)
+def test_job_that_is_too_large_is_refused(change: Any) -> None:
+    with pytest.raises(errors.Error, match="at most") as raised:
+        decode_job({**samples.JOB, **change})
+    assert raised.value.ran is errors.Ran.NO
+    assert errors.REPORTS_BY_KIND[raised.value.kind].status == 413
+
+
+def test_largest_job_is_accepted() -> None:
+    spec = "\u00e9" * 2_000
+    step = {"count": 1, "requires": "x" * 256}
+    steps = [step, *[{**step, "after": [0, 0]}] * 1_699]
+    job = decode_job({**samples.JOB, "spec": spec, "steps": steps})
+    assert job.payload == spec
+    assert len(job.steps) == 1_700
 
 
 def test_refused_request_is_logged_with_its_job_id(
@@ -157,7 +187,11 @@
     log = types.SimpleNamespace(info=lambda event, **row: lines.append(row))
     monkeypatch.setattr(callers, "_log", log)
     scheduler = types.SimpleNamespace(routing_table=None)
-    handler = callers.CallerHandler(scheduler, executor=None)  # type: ignore[arg-type]
+    handler = callers.CallerHandler(
+        scheduler,
+        executor=None,  # type: ignore[arg-type]
+        limits=settings.JobLimits(),
+    )
     request = requests.Request(
         {
             "REQUEST_METHOD": "POST",
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -94,6 +94,7 @@
             yield crowds.Door(
                 port=port,
                 pid=fleet.processes_by_name["entry-0"].pid,
+                sidecar_pid=fleet.processes_by_name["sidecar-0"].pid,
                 tls=_client_context(tls) if tls else None,
                 head=lambda: (
                     f"POST {path()} HTTP/1.1\r\nHost: {hostedprocesses.HOST}"
@@ -139,11 +140,10 @@
                 str(tls.authority) if tls else "",
             )
 
-        pid = fleet.processes_by_name["entry-1"].pid
-        assert pid is not None
         yield crowds.Door(
             port=int(url.rpartition(":")[2]),
-            pid=pid,
+            pid=fleet.processes_by_name["entry-1"].pid,
+            sidecar_pid=fleet.processes_by_name["sidecar-1"].pid,
             tls=_client_context(tls) if tls else None,
             head=lambda: (
                 "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n"
@@ -187,6 +187,13 @@
         )
 
 
+@pytest.fixture
+def hosted_door(tmp_path: pathlib.Path) -> Iterator[crowds.Door]:
+    """Starts a hosted entry with the default settings."""
+    with _hosted_door(tmp_path, None, {}) as door:
+        yield door
+
+
 @contextlib.contextmanager
 def _standing_crowd(
     door: crowds.Door,
@@ -199,10 +206,14 @@
     crowd = crowds.Crowd(door)
     assert door.submit() == 200
     try:
-        with crowds.Meter(door.pid, door.port) as meter:
+        with (
+            crowds.Meter(door.pid, door.port) as meter,
+            crowds.Meter(door.sidecar_pid, 0) as sidecar_meter,
+        ):
             yield crowd, meter
             assert door.submit() in ANSWERED
             crowds.check_alive_within(meter, crowds.HOST_BYTES)
+            crowds.check_alive_within(sidecar_meter, crowds.SIDECAR_HOST_BYTES)
     finally:
         crowd.close()
     # Jobs of the crowd that have started may have to end first.
@@ -304,3 +315,68 @@
             connection.settimeout(2.0)
             with contextlib.suppress(OSError):
                 connection.recv(65_536)
+
+
+def _hosted_job(steps: list[dict[str, Any]], spec: str = "") -> bytes:
+    return json.dumps(
+        {"spec": spec, "bestEffort": True, "steps": steps}
+    ).encode()
+
+
+# Whole bodies. Tasks that need no room run at once.
+MANY_TASKS = {"count": 1_700, "estimateMs": 60_000}
+HOSTED_JOBS = {
+    "many tasks": _hosted_job([MANY_TASKS]),
+    "many tasks that wait": _hosted_job([{**MANY_TASKS, "cpu": 4_000}]),
+    "many tasks of a long payload": _hosted_job(
+        [MANY_TASKS], "".join(f"{number:x}" for number in range(40_000))
+    ),
+    "many tasks of a payload that compresses well": _hosted_job(
+        [MANY_TASKS], "x" * 240_000
+    ),
+    "many steps": _hosted_job(
+        [
+            {"count": 1, "estimateMs": 60_000, "after": [max(0, index - 1)]}
+            if index
+            else {"count": 1, "estimateMs": 60_000}
+            for index in range(1_700)
+        ]
+    ),
+    "many dependencies": _hosted_job(
+        [
+            {"count": 1, "estimateMs": 60_000, "after": [0] * 150}
+            if index
+            else {"count": 1, "estimateMs": 60_000}
+            for index in range(500)
+        ]
+    ),
+    "many values": b'{"bestEffort": true, "steps": ['
+    + b'{"":{}},' * 480_000
+    + b"{}]}",
+}
+
+
+@pytest.mark.parametrize("body", HOSTED_JOBS.values(), ids=list(HOSTED_JOBS))
+def test_large_jobs(hosted_door: crowds.Door, body: bytes) -> None:
+    door = hosted_door
+
+    def submit(connection: socket.socket) -> None:
+        connection.sendall(door.request(body))
+
+    with _standing_crowd(door) as (crowd, _):
+        crowd.join(CROWD, submit)
+
+
+def test_long_trace_headers(hosted_door: crowds.Door) -> None:
+    door = hosted_door
+    body = HOSTED_JOBS["many tasks"]
+
+    def submit(connection: socket.socket) -> None:
+        request = (
+            f"{door.head()}traceparent: {'0' * 15_000}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        connection.sendall(request.encode() + body)
+
+    with _standing_crowd(door) as (crowd, _):
+        crowd.join(CROWD, submit)
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -117,7 +117,7 @@
     step = {"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 90, **change}
     body = json.dumps({"bestEffort": True, "steps": [step]}).encode()
     with pytest.raises(hosting.UnusableRecord):
-        callers.decode("0" * 16, body, 1_000)
+        callers.decode("0" * 16, body, 1_000, settings.JobLimits())
 
 
 @pytest.mark.parametrize("name", ["born", "sequence"])
--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -19,6 +19,7 @@
 from sardineroute_core import errors
 from sardineroute_core import hosting
 from sardineroute_core import runmessages
+from sardineroute_core import settings
 from sardineroute_core import work
 from sardineroute_platform import callers
 from sardineroute_platform import heartbeats
@@ -94,6 +95,13 @@
     return value is _MISSING or (isinstance(value, str) and value != _HALF_PAIR)
 
 
+def _is_short_text_or_missing(limit: int) -> Callable[[Any], bool]:
+    return lambda value: (
+        _is_text_or_missing(value)
+        and (value is _MISSING or len(value) <= limit)
+    )
+
+
 def _is_empty_list(value: Any) -> bool:
     return value == []
 
@@ -157,7 +165,7 @@
 }
 _JOB = {**samples.JOB, "steps": [_STEP]}
 _JOB_CHECKS: dict[Path, Callable[[Any], bool]] = {
-    ("spec",): _is_text_or_missing,
+    ("spec",): _is_short_text_or_missing(4_000),
     ("bestEffort",): lambda value: value is True,
     ("repeatCount",): lambda value: value is _MISSING,
     ("startAtMs",): _is_amount_or_missing,
@@ -179,9 +187,10 @@
     },
     ("steps", 0, "after"): _is_empty_list_or_missing,
     **{
-        ("steps", 0, name): _is_text_or_missing
-        for name in ("requires", "affinity", "image")
+        ("steps", 0, name): _is_short_text_or_missing(256)
+        for name in ("requires", "affinity")
     },
+    ("steps", 0, "image"): _is_text_or_missing,
     **{
         ("steps", 0, name): _is_boolean_or_missing
         for name in ("speculative", "checkpointing")
@@ -308,7 +317,7 @@
 # ends.
 def test_each_field_of_a_job_is_checked() -> None:
     def decode(body: bytes) -> None:
-        request = callers.decode("0" * 16, body, 1_000)
+        request = callers.decode("0" * 16, body, 1_000, settings.JobLimits())
         step = request.steps[0]
         codec.encode(
             fakeworker.start_message(
