Bound the tasks that all jobs at an entry have, and those at one worker

What callers saw: no answer from an entry beside a crowd of requests of 100 bytes, each for 1,700 tasks that need no room at the worker.

Cause: tasks without size fit any worker, so that a job's tasks were all sent at once, however many others ran; nothing bounded the jobs at an entry.

Change: jobs.max_held_tasks (16,384) bounds the tasks of all jobs at an entry; a job may have a quarter of what is free, so that large jobs leave room for ordinary ones. jobs.max_tasks_at_worker (256) bounds the tasks of an entry at one worker, so also what its sidecar keeps. A job beyond them is refused at once with 503. While a job is planned, the other tasks of a step that has none to go to are not looked at.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -307,6 +307,8 @@
     max_payload_bytes: Annotated[int, pydantic.Field(ge=1)] = 4_000
     max_tasks: Annotated[int, pydantic.Field(ge=1)] = 1_700
     max_dependencies: Annotated[int, pydantic.Field(ge=0)] = 4_096
+    max_held_tasks: Annotated[int, pydantic.Field(ge=1)] = 16_384
+    max_tasks_at_worker: Annotated[int, pydantic.Field(ge=1)] = 256
 
 
 class HostedEntry(_Hosted):
--- a/packages/daemon/src/sardinerouted/dispatching/fleet.py
+++ b/packages/daemon/src/sardinerouted/dispatching/fleet.py
@@ -51,6 +51,7 @@
         on_confined_queues: Called with the queues that another entry confines.
         crashes_at: Returns the message about the crashes that a sidecar, given
             by its id, has noticed.
+        max_tasks_at_sidecar: Limit on the tasks that this entry has at one.
         entry_count: Returns the number of entries that share the sidecars.
     """
 
@@ -72,6 +73,7 @@
         self.crashes_at: Callable[[str], runmessages.Crashes] = lambda _: (
             runmessages.Crashes(())
         )
+        self.max_tasks_at_sidecar = sidecars.MAX_TASKS
         self.entry_count: Callable[[], int] = lambda: 1
         self._ranks_by_id: dict[str, bytes] = {}
         self._wanted_until_ms_by_label: dict[str, int] = {}
@@ -137,7 +139,12 @@
         peer = connection.peer
         sidecar = self.sidecars_by_id.get(peer.id)
         if sidecar is None:
-            sidecar = sidecars.Sidecar(peer.id, peer.incarnation, self._clock)
+            sidecar = sidecars.Sidecar(
+                peer.id,
+                peer.incarnation,
+                self._clock,
+                self.max_tasks_at_sidecar,
+            )
             self.sidecars_by_id[peer.id] = sidecar
             self._ranks_by_id[peer.id] = subset.rank(self._entry, peer.id)
         restarted = sidecar.incarnation != peer.incarnation
--- a/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
@@ -24,14 +24,21 @@
     "Jobs given up because their tasks crash workers, by queue.",
     ["queue"],
 )
-
-
+_REFUSED_FOR_TASKS = prometheus_client.Counter(
+    "sardineroute_jobs_refused_for_tasks",
+    "Jobs refused because the jobs at the entry have too many tasks.",
+)
 _MOVED = prometheus_client.Counter(
     "sardineroute_tasks_moved",
     "Tasks sent elsewhere because a failure domain was evacuated.",
 )
 
 
+def count_refused_for_tasks() -> None:
+    """Counts a job refused at the limit on the tasks at this entry."""
+    _REFUSED_FOR_TASKS.inc()
+
+
 def count_moved() -> None:
     """Counts a task that is sent elsewhere because of an evacuation."""
     _MOVED.inc()
--- a/packages/daemon/src/sardinerouted/dispatching/placement.py
+++ b/packages/daemon/src/sardinerouted/dispatching/placement.py
@@ -67,6 +67,17 @@
     return sidecar.trouble >= _TROUBLE_LIMIT
 
 
+def is_crowded(sidecar: sidecars.Sidecar) -> bool:
+    """Returns whether this entry has so many tasks there that it sends no more.
+
+    The size of a task bounds how many a worker takes, unless it is small.
+    """
+    return (
+        len(sidecar.tasks_by_id) + sidecar.capacity.reserved_count
+        >= sidecar.max_tasks
+    )
+
+
 def can_run(sidecar: sidecars.Sidecar, task: jobs.Task) -> bool:
     """Returns whether a worker meets a task's requirements.
 
@@ -94,6 +105,7 @@
         sidecar
         for sidecar in fleet
         if sidecar.is_usable
+        and not is_crowded(sidecar)
         and can_run(sidecar, task)
         and _is_below_task_limit(sidecar, task, step.max_per_worker)
     ]
--- a/packages/daemon/src/sardinerouted/dispatching/planning.py
+++ b/packages/daemon/src/sardinerouted/dispatching/planning.py
@@ -14,6 +14,7 @@
 
 NO_WORKER = "no worker can run the job"
 _EVACUATED = "all workers that can run the job are evacuated"
+_CROWDED = "this entry has too many tasks at the workers that can run the job"
 _UNISOLATED = "a task may crash workers, and none is free to run it apart"
 
 
@@ -57,8 +58,12 @@
         reserved_sidecars: list[sidecars.Sidecar] = []
         now_ms = self._clock.now_ms()
         isolated: list[sidecars.Sidecar] | None = None
+        # Tasks of a step are alike: no other one can be placed either.
+        unplaceable_steps: set[int] = set()
         try:
             for task in job.queued_tasks():
+                if task.id.step in unplaceable_steps:
+                    continue
                 if self._suspects.is_suspect(task.id):
                     if isolated is None:
                         isolated = self._isolated_sidecars(job)
@@ -70,6 +75,8 @@
                         isolated = [choice.sidecar]
                 else:
                     choice = self._choose_in_fleet(task, now_ms)
+                    if choice is None:
+                        unplaceable_steps.add(task.id.step)
                 if choice is None:
                     continue
                 choice.sidecar.capacity.reserve(task.step.size)
@@ -84,13 +91,24 @@
         """Returns why no worker may run a job; empty if one may.
 
         That is so where workers could run a task but for an evacuation, which
-        lasts longer than callers wait.
+        lasts longer than callers wait, or because of the many tasks that this
+        entry has there.
         """
         fleet = self._fleet.all_sidecars()
+        queued_by_step: dict[int, list[jobs.Task]] = {}
         for task in job.queued_tasks():
-            able = [one for one in fleet if placement.can_run(one, task)]
+            queued_by_step.setdefault(task.id.step, []).append(task)
+        for queued in queued_by_step.values():
+            able = [one for one in fleet if placement.can_run(one, queued[0])]
             if able and all(one.is_evacuated for one in able):
                 return _EVACUATED
+            room = sum(
+                one.max_tasks - len(one.tasks_by_id)
+                for one in able
+                if one.is_usable
+            )
+            if any(one.is_usable for one in able) and room < len(queued):
+                return _CROWDED
         return ""
 
     def why_unplaceable(
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -8,7 +8,9 @@
 from sardineroute_core import logs
 from sardineroute_core import routing
 from sardineroute_core import runmessages
+from sardineroute_core import settings
 from sardineroute_core import work
+from sardinerouted import budget
 from sardinerouted.dispatching import callers
 from sardinerouted.dispatching import confinement
 from sardinerouted.dispatching import congestion
@@ -64,6 +66,7 @@
 _RUNS_LOST = "runs of a task were lost too often"
 _NO_CAPACITY = "no worker has capacity in time"
 _STOPPING = "the entry is shutting down"
+_TOO_MANY_TASKS = "the jobs at this entry have too many tasks"
 _CONGESTED = "messages to the workers take too long"
 
 _log = logs.get_logger("jobs")
@@ -79,6 +82,7 @@
         warm_up_until_ms: End of the warm-up, in which more workers are
             expected to connect. Until then a job that finds no capacity is
             checked again instead of refused.
+        limits: What all jobs may hold together.
 
     Attributes:
         routing_table: The active configuration, or None before the first.
@@ -92,12 +96,16 @@
         entry: str = "",
         far_factor: float = 1.0,
         warm_up_until_ms: int = 0,
+        limits: settings.JobLimits | None = None,
     ) -> None:
+        limits = limits or settings.JobLimits()
         self._clock = time
+        self._held_tasks = budget.Budget(limits.max_held_tasks)
         self._warm_up_until_ms = warm_up_until_ms
         self.routing_table: routing.Table | None = None
         self.stop_ms = _NEVER_MS
         self.fleet = fleets.Fleet(time, entry, self._handle_run_end)
+        self.fleet.max_tasks_at_sidecar = limits.max_tasks_at_worker
         self.fleet.on_cancel = self._cancel_local
         self._suspects = suspicion.Suspects(time)
         self._confinement = confinement.Confinement(time)
@@ -174,6 +182,7 @@
         job = self._jobs_by_id.get(request.id)
         if job is None:
             self._refuse_if_hopeless(request, caller, now_ms)
+            self._hold_tasks(request)
             job = self._create_job(request, queue, now_ms)
             self._jobs_by_id[request.id] = job
             self._admit(job)
@@ -256,6 +265,26 @@
             )
             raise _overloaded_error(reason)
 
+    def _hold_tasks(self, request: work.Request) -> None:
+        """Takes what the tasks of a new job need from the budget.
+
+        Raises:
+            errors.Error: The job is refused.
+        """
+        tasks = sum(step.count for step in request.steps)
+        if self._held_tasks.take(tasks):
+            return
+        jobmetrics.count_refused_for_tasks()
+        _log.warning(
+            "Refused a new job.",
+            job=request.id,
+            why=_TOO_MANY_TASKS,
+            tasks=tasks,
+            held=self._held_tasks.held,
+            allowed=self._held_tasks.limit,
+        )
+        raise _overloaded_error(_TOO_MANY_TASKS)
+
     def _is_congested(self, now_ms: int) -> bool:
         is_congested = self._congestion.is_congested(now_ms)
         if is_congested != self._was_congested:
@@ -571,6 +600,7 @@
         job.end(state, error)
         if self._jobs_by_id.pop(job.request.id, None) is None:
             return
+        self._held_tasks.give_back(len(job.tasks_by_id))
         self.fleet.stop_runs(
             [
                 task
--- a/packages/daemon/src/sardinerouted/dispatching/sidecars.py
+++ b/packages/daemon/src/sardinerouted/dispatching/sidecars.py
@@ -16,6 +16,8 @@
 # Added to the entry's lease: the worker's lease on a clock that is 2 % slow,
 # and the time to stop a run.
 WORKER_LEASE_MARGIN_MS = 520
+# Default limit on the tasks of an entry at a sidecar.
+MAX_TASKS = 256
 # A worker that isn't back by then has left for good: several times as long as
 # one takes to start.
 _MAX_RESTART_MS = 10_000
@@ -41,12 +43,18 @@
         is_evacuated: Whether its failure domain is evacuated.
         lease_renewed_ms: When this entry's lease at the sidecar was last
             renewed.
+        max_tasks: Limit on `tasks_by_id`.
     """
 
     def __init__(
-        self, sidecar_id: str, incarnation: str, time: clock.Clock
+        self,
+        sidecar_id: str,
+        incarnation: str,
+        time: clock.Clock,
+        max_tasks: int = MAX_TASKS,
     ) -> None:
         self._clock = time
+        self.max_tasks = max_tasks
         self.id = sidecar_id
         self.incarnation = incarnation
         self.connection: streams.Connection | None = None
--- a/packages/daemon/src/sardinerouted/hosted/entry.py
+++ b/packages/daemon/src/sardinerouted/hosted/entry.py
@@ -66,7 +66,7 @@
     supervisor.handle_loop_exceptions()
     warm_up_until_ms = time.now_ms() + _WARM_UP_MS
     scheduler = schedulers.Scheduler(
-        time, options.id, options.far_factor, warm_up_until_ms
+        time, options.id, options.far_factor, warm_up_until_ms, options.jobs
     )
     store = adapter.record_store(options.store)
     address = options.streams.advertise or options.streams.listen
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -1,8 +1,13 @@
 """Load pattern: jobs of many tasks, at an entry that holds many already."""
 
+import asyncio
+
 import pytest
 
+import fakeworker
+import hostedrig
 from sardineroute_core import runmessages
+from sardineroute_core import settings
 from sardineroute_core import work
 from sardinerouted.dispatching import capacity
 
@@ -30,3 +35,43 @@
     assert free == work.Size(64_000 - 1_700, 64_000 - 3_400)
     assert known.free(0) == (work.Size(64_000, 64_000) if wait_ms else free)
     assert operations <= 10
+
+
+def test_large_job_leaves_room_for_ordinary_ones() -> None:
+    limits = settings.JobLimits(max_tasks=100, max_held_tasks=200)
+
+    async def main() -> None:
+        workers = [fakeworker.FakeWorker(run_ms=400)]
+        async with hostedrig.fleet(1, workers, limits=limits) as rig:
+            entry = rig.entries[0]
+            small = work.Size(1, 1)
+            large = asyncio.create_task(
+                entry.submit("large-1", tasks=100, size=small, estimate_ms=400)
+            )
+            await rig.wait_until(lambda: rig.running_count() > 0)
+            assert await entry.submit("large-2", tasks=26) == "overloaded no"
+            assert await entry.submit("ordinary", size=small) == "completed"
+            assert await large == "completed"
+            again = await entry.submit("large-3", tasks=100, size=small)
+            assert again == "completed"
+            assert not [one for one in rig.started_tasks() if "large-2" in one]
+
+    asyncio.run(main())
+
+
+def test_tasks_without_size_are_bounded_at_each_worker() -> None:
+    limits = settings.JobLimits(max_tasks_at_worker=10)
+
+    async def main() -> None:
+        workers = [fakeworker.FakeWorker(run_ms=300) for _ in range(2)]
+        async with hostedrig.fleet(1, workers, limits=limits) as rig:
+            entry = rig.entries[0]
+            none = work.Size()
+            assert await entry.submit("most", 20, size=none) == "completed"
+            for worker in workers:
+                assert worker.max_concurrent_runs <= 10
+            more = await entry.submit("more", 21, size=none)
+            assert more == "overloaded no"
+            assert not [one for one in rig.started_tasks() if "more" in one]
+
+    asyncio.run(main())
