Refuse a job of too many tasks before its list of tasks is built

What callers saw: connections broke because an entry of the product's own fleet ended. A body of 4 MB may have two million tasks; 1,700 are allowed.

Cause: the list was built in full and then counted, which takes some 110 MB for such a body (a trial), on up to 16 threads at a time.

Change: the tasks are decoded into a positional struct of 1,700 optional values, where msgspec stops at the first value too many.

Evidence: tests/test_crowds.py::test_large_jobs_of_the_own_fleet[many values] failed (1,033 MB held at, 796 MB with the budget for requests, allowed 160) and passes.

--- a/packages/daemon/src/sardinerouted/entry/callers/parsing.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/parsing.py
@@ -1,6 +1,7 @@
 """Parses and validates job submissions and idempotency keys."""
 
 import re
+from typing import Any
 
 import msgspec
 
@@ -17,9 +18,25 @@
 _KEY = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?")
 
 
+# A list of at most `MAX_TASKS` values. msgspec builds a list of any length
+# before it checks the length, which takes some 25 times the size of a body of
+# short values. It stops at the first value too many of a positional struct.
+_Tasks: Any = msgspec.defstruct(
+    "_Tasks",
+    [
+        (f"task_{index}", msgspec.Raw | msgspec.UnsetType, msgspec.UNSET)
+        for index in range(MAX_TASKS)
+    ],
+    array_like=True,
+    frozen=True,
+    forbid_unknown_fields=True,
+)
+_TOO_MANY = f"at most length {MAX_TASKS}"
+
+
 class _JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     kind: str
-    tasks: list[msgspec.Raw]
+    tasks: _Tasks
     timeout_ms: int | None = None
 
 
@@ -38,7 +55,7 @@
     """
     key = check_key(request.header("Idempotency-Key"))
     body = request.body()
-    job_body = _parse(body)
+    job_body, tasks = _parse(body)
     timeout_ms = job_body.timeout_ms
     if timeout_ms is None:
         timeout_ms = current_policy.team(team).kind(job_body.kind).timeout_ms
@@ -47,7 +64,7 @@
         key=key,
         digest=ids.digest(body),
         kind=job_body.kind,
-        tasks=tuple(bytes(task) for task in job_body.tasks),
+        tasks=tasks,
         timeout_ms=timeout_ms,
         traceparent=traces.valid_parent(request.header("traceparent")),
     )
@@ -81,22 +98,28 @@
     return key
 
 
-def _parse(body: bytes) -> _JobBody:
+def _parse(body: bytes) -> tuple[_JobBody, tuple[bytes, ...]]:
     try:
         job_body = _decoder.decode(body)
     except msgspec.ValidationError as error:
-        raise errors.Error(
-            errors.Kind.BAD_REQUEST, f"the body is not a valid job: {error}"
-        ) from error
+        detail = f"the body is not a valid job: {error}"
+        if _TOO_MANY in detail:
+            detail = f"tasks: found more than {MAX_TASKS}, which is the limit"
+        raise errors.Error(errors.Kind.BAD_REQUEST, detail) from error
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.Error(
             errors.Kind.BAD_REQUEST,
             f"the body of {len(body)} bytes is not JSON: {error}",
         ) from error
-    _check_range("tasks", len(job_body.tasks), MAX_TASKS)
+    tasks = tuple(
+        bytes(task)
+        for task in msgspec.structs.astuple(job_body.tasks)
+        if task is not msgspec.UNSET
+    )
+    _check_range("tasks", len(tasks), MAX_TASKS)
     if job_body.timeout_ms is not None:
         _check_range("timeout_ms", job_body.timeout_ms, jobs.MAX_TIMEOUT_MS)
-    return job_body
+    return job_body, tasks
 
 
 def _check_range(name: str, value: int, maximum: int) -> None:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -380,3 +380,33 @@
 
     with _standing_crowd(door) as (crowd, _):
         crowd.join(CROWD, submit)
+
+
+@pytest.fixture
+def own_door(tmp_path: pathlib.Path) -> Iterator[crowds.Door]:
+    """Starts an entry of the product's own fleet with the default settings."""
+    with _own_door(tmp_path, None, {}) as door:
+        yield door
+
+
+OWN_JOBS = {
+    "many tasks": json.dumps(
+        {"kind": "receipt.issue", "tasks": [{"run_ms": 50}] * 1_700}
+    ).encode(),
+    "many values": b'{"kind": "receipt.issue", "tasks": ['
+    + b"1," * 2_000_000
+    + b"1]}",
+}
+
+
+@pytest.mark.parametrize("body", OWN_JOBS.values(), ids=list(OWN_JOBS))
+def test_large_jobs_of_the_own_fleet(
+    own_door: crowds.Door, body: bytes
+) -> None:
+    door = own_door
+
+    def submit(connection: socket.socket) -> None:
+        connection.sendall(door.request(body))
+
+    with _standing_crowd(door) as (crowd, _):
+        crowd.join(CROWD, submit)
