Bound the payloads of the jobs in progress at an entry of the own fleet

What callers saw: connections broke because an entry ended. Jobs of 4 MB were accepted as long as their number of tasks was within the limits of the team.

Cause: nothing bounded the bytes of the jobs in progress. Besides, a body was copied twice while it was read and kept until it was judged, an answer four times, and glibc kept the freed blocks in the arenas of all threads.

Change: jobs.max_held_bytes (24 MiB) bounds the payloads, at the entry where the caller waits and at the home entry; a job beyond it is refused with 503, `ran` unknown where the home entry may know the job. The budgets for requests and for unsent responses are 16 MiB. Bodies and answers are copied once, and large blocks go back to the kernel when they are freed.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -128,8 +128,8 @@
     listen_queue: Annotated[int, pydantic.Field(ge=1)] = 512
     max_connections: Annotated[int, pydantic.Field(ge=1)] = 1_024
     max_body_bytes: Annotated[int, pydantic.Field(ge=1)] = 4_194_304
-    max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 33_554_432
-    max_unsent_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 33_554_432
+    max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 16_777_216
+    max_unsent_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 16_777_216
     receive_buffer_bytes: Annotated[int, pydantic.Field(ge=4_096)] = 32_768
     request_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 10_000
     response_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 30_000
@@ -240,6 +240,12 @@
         return self
 
 
+class EntryJobs(_Section):
+    """What the jobs at an entry may hold together."""
+
+    max_held_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 25_165_824
+
+
 class Entry(_Process):
     """Settings of `sardinerouted entry`.
 
@@ -249,6 +255,7 @@
 
     role: Literal["entry"]
     http: Http
+    jobs: EntryJobs = EntryJobs()
     peers: list[Address] = []
     teams: Annotated[list[Token], pydantic.Field(min_length=1)]
     operators: list[Token] = []
--- a/packages/daemon/src/sardinerouted/entry/assembly.py
+++ b/packages/daemon/src/sardinerouted/entry/assembly.py
@@ -12,6 +12,7 @@
 from sardinerouted.entry import state as entry_state
 from sardinerouted.entry.fleet import configuration
 from sardinerouted.entry.fleet import peers
+from sardinerouted.entry.jobs import holding
 from sardinerouted.entry.jobs import jobs
 from sardinerouted.entry.jobs import lifecycle
 from sardinerouted.entry.jobs import retention
@@ -106,6 +107,9 @@
         ),
         jobs_by_id=jobs_by_id,
         former_jobs_by_id=former_jobs_by_id,
+        held_bytes=holding.HeldBytes(
+            options.jobs.max_held_bytes, monotonic_clock
+        ),
     )
     entry_ownership.listeners.on_gained = lambda gains: (
         lifecycle.handle_gained_partitions(state, gains)
--- a/packages/daemon/src/sardinerouted/entry/callers/commands.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/commands.py
@@ -222,6 +222,8 @@
         )
     live_entries = 1 + len(state.ownership.live_other_sessions())
     state.admission.check_job(submission, live_entries)
+    # Given back when the job has ended.
+    state.held_bytes.take(submission, errors.Ran.NO)
 
 
 def _check_waiting_caller(
--- a/packages/daemon/src/sardinerouted/entry/callers/job_handlers.py
+++ b/packages/daemon/src/sardinerouted/entry/callers/job_handlers.py
@@ -36,27 +36,30 @@
         submission = parsing.parse_submission(
             request, team, state.policy.current
         )
-        call = _submit(state, submission)
-        return make_pending(call, submission.timeout_ms)
+        # The home entry may know the job.
+        state.held_bytes.take(submission, errors.Ran.UNKNOWN)
+        return routes.PendingResponse(
+            _submit(state, submission),
+            executor,
+            submission.timeout_ms + _RESPONSE_MARGIN_MS,
+            render_outcome,
+            lambda: state.held_bytes.give_back(submission),
+        )
 
     def look_up(request: requests.Request) -> routes.PendingResponse:
         team = tokens.authenticate_team(request)
         key = parsing.check_key(request.parameters["key"])
-        return make_pending(
-            queries.look_up(state, team, key), lookup_timeout_ms
-        )
+        return make_pending(queries.look_up(state, team, key))
 
     def cancel(request: requests.Request) -> routes.PendingResponse:
         team = tokens.authenticate_team(request)
         key = parsing.check_key(request.parameters["key"])
-        return make_pending(
-            commands.cancel(state, team, key), lookup_timeout_ms
-        )
+        return make_pending(commands.cancel(state, team, key))
 
     def make_pending(
-        call: Coroutine[Any, Any, messages.Outcome], timeout_ms: int
+        call: Coroutine[Any, Any, messages.Outcome],
     ) -> routes.PendingResponse:
-        wait_ms = timeout_ms + _RESPONSE_MARGIN_MS
+        wait_ms = lookup_timeout_ms + _RESPONSE_MARGIN_MS
         return routes.PendingResponse(call, executor, wait_ms, render_outcome)
 
     lookup_timeout_ms = state.options.streams.silence_ms * 4
@@ -84,6 +87,8 @@
             outcome = await commands.submit(state, traced)
         except errors.Error as error:
             outcome = jobs.to_error_outcome(submission.job_id, error, 0)
+        finally:
+            state.held_bytes.give_back(submission)
         span.end(outcome.code)
     took_ms = state.clock.now_ms() - started_ms
     jobmetrics.observe_outcome(submission, outcome, took_ms / 1_000)
@@ -111,7 +116,11 @@
 
 def _render_complete(outcome: messages.Outcome) -> responses.Response:
     # The answers are encoded JSON already, so they are joined without parsing.
+    # They are copied once, as they may be large.
     head = json.dumps({"job": outcome.job, "state": outcome.state})
-    answers = b",".join(outcome.answers)
-    body = head[:-1].encode() + b', "answers": [' + answers + b"]}"
+    parts = [head[:-1].encode(), b', "answers": [']
+    for index, answer in enumerate(outcome.answers):
+        parts += (b",", answer) if index else (answer,)
+    parts.append(b"]}")
+    body = b"".join(parts)
     return responses.Response(200, responses.JSON, body)
--- a/packages/daemon/src/sardinerouted/entry/jobs/jobs.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs/jobs.py
@@ -59,6 +59,11 @@
     timeout_ms: int
     traceparent: str
 
+    @property
+    def size_bytes(self) -> int:
+        """Returns the size of the payloads of all tasks."""
+        return sum(map(len, self.tasks))
+
     @property
     def job_id(self) -> str:
         """Returns the id of the job."""
--- a/packages/daemon/src/sardinerouted/entry/jobs/lifecycle.py
+++ b/packages/daemon/src/sardinerouted/entry/jobs/lifecycle.py
@@ -143,6 +143,7 @@
     state: entry_state.EntryState, job: jobs.Job, timer: asyncio.TimerHandle
 ) -> None:
     timer.cancel()
+    state.held_bytes.give_back(job.submission)
     state.running_by_partition[job.partition] -= 1
     job.ended_ms = state.clock.now_ms()
     if job.state is not jobs.State.COMPLETE:
--- a/packages/daemon/src/sardinerouted/entry/process.py
+++ b/packages/daemon/src/sardinerouted/entry/process.py
@@ -11,6 +11,7 @@
 from sardineroute_core import settings
 from sardineroute_core import streams
 from sardineroute_core import traces
+from sardinerouted import allocator
 from sardinerouted import httpd
 from sardinerouted import membership
 from sardinerouted import shutdown
@@ -39,6 +40,7 @@
     """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
     logs.configure(options.logging)
     traces.configure(options.traces, options.id)
+    allocator.return_large_blocks()
     return shutdown.run(_main(options))
 
 
--- a/packages/daemon/src/sardinerouted/entry/state.py
+++ b/packages/daemon/src/sardinerouted/entry/state.py
@@ -12,6 +12,7 @@
 from sardinerouted import membership
 from sardinerouted.entry.fleet import configuration
 from sardinerouted.entry.fleet import peers
+from sardinerouted.entry.jobs import holding
 from sardinerouted.entry.jobs import jobs
 from sardinerouted.entry.jobs import retention
 from sardinerouted.entry.ownership import keeper
@@ -54,6 +55,8 @@
         retained_jobs: Retains ended jobs for a time.
         jobs_by_id: The jobs whose home entry is this one.
         former_jobs_by_id: Ended jobs whose partition this entry has lost.
+        held_bytes: Bounds the payloads of the jobs that callers wait for here
+            or whose home entry this is.
         forwarded_by_job: Number of submissions that callers wait for here, by
             job id.
         running_by_partition: Number of jobs that run here, by partition.
@@ -85,6 +88,7 @@
     retained_jobs: retention.RetainedJobs
     jobs_by_id: dict[str, jobs.Job]
     former_jobs_by_id: dict[str, jobs.Job]
+    held_bytes: holding.HeldBytes
     forwarded_by_job: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/packages/daemon/src/sardinerouted/web/app.py
+++ b/packages/daemon/src/sardinerouted/web/app.py
@@ -75,6 +75,7 @@
                 return []
             else:
                 outcome.call.close()
+                outcome.on_refused()
                 outcome = responses.problem(_too_many_waiting_error())
         observe(outcome)
         start_response(outcome.status_line, outcome.all_headers())
--- a/packages/daemon/src/sardinerouted/web/refusals.py
+++ b/packages/daemon/src/sardinerouted/web/refusals.py
@@ -13,12 +13,13 @@
 
 
 class Limit(enum.StrEnum):
-    """A limit on what all connections of a server may hold together."""
+    """A limit on what all connections or jobs may hold together."""
 
     CONNECTIONS = "max_connections"
     WAITING = "waiting_requests"
     RECEIVING = "max_receiving_bytes"
     UNSENT = "max_unsent_bytes"
+    HELD_JOBS = "jobs.max_held_bytes"
 
 
 class Refusals:
--- a/packages/daemon/src/sardinerouted/web/routes.py
+++ b/packages/daemon/src/sardinerouted/web/routes.py
@@ -22,12 +22,14 @@
         wait_ms: Timeout of the call.
         render: Returns the response for the call's result; runs on a thread
             of the HTTP server.
+        on_refused: Called instead of the call if the request can't wait.
     """
 
     call: Coroutine[Any, Any, Any]
     executor: exchanges.LoopExecutor
     wait_ms: int
     render: Callable[[Any], responses.Response]
+    on_refused: Callable[[], None] = lambda: None
 
 
 Handler = Callable[[requests.Request], responses.Response | PendingResponse]
--- a/packages/daemon/src/sardinerouted/web/sockets.py
+++ b/packages/daemon/src/sardinerouted/web/sockets.py
@@ -107,8 +107,7 @@
 
     def finish_request(self) -> None:
         """Drops the bytes of the request; the rest is the next request."""
-        # Deleting the bytes in place would keep the memory of a large request.
-        self._buffer = self._buffer[self._position :]
+        del self._buffer[: self._position]
         self._position = 0
         self._deadline_ms = None
         self._has_head = False
@@ -158,7 +157,12 @@
         self._hold(self._needed_bytes)
         while self.available < size and self._fill(size - self.available):
             pass
-        return self._consume(min(size, self.available))
+        data = self._consume(min(size, self.available))
+        # The request is complete and isn't read again. What it holds of the
+        # budget is now held by the caller of this function.
+        del self._buffer[: self._position]
+        self._position = 0
+        return data
 
     def close(self) -> None:
         """Stops receiving from the socket and drops what was received."""
@@ -204,7 +208,8 @@
 
     def _consume(self, size: int) -> bytes:
         end = self._position + size
-        data = bytes(self._buffer[self._position : end])
+        with memoryview(self._buffer) as view:
+            data = bytes(view[self._position : end])
         self._position = end
         self.bytes_read += size
         return data
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -389,7 +389,14 @@
         yield door
 
 
+LONG_TASK = {"run_ms": 50, "text": "x" * 2_300}
 OWN_JOBS = {
+    "long payloads": json.dumps(
+        {"kind": "receipt.issue", "tasks": [LONG_TASK] * 1_700}
+    ).encode(),
+    "one long payload": json.dumps(
+        {"kind": "receipt.issue", "tasks": ["x" * LARGE_BODY_BYTES]}
+    ).encode(),
     "many tasks": json.dumps(
         {"kind": "receipt.issue", "tasks": [{"run_ms": 50}] * 1_700}
     ).encode(),
