Notice callers that leave after they have sent more than their request

What callers saw: fewer workers for them. The jobs of a crowd that had sent bytes behind its requests and left went on for as long as their deadlines allowed (up to ten minutes). Over TLS such a caller was taken to have left.

Cause: bytes that arrived while a job ran ended the watch for a disconnect, as they keep the socket readable; and with unread bytes the end of the connection can't be seen by reading. MSG_PEEK doesn't work over TLS.

Change: poll for POLLRDHUP, which is set whatever is unread, and check such a caller every 300 ms.

--- a/packages/daemon/src/sardinerouted/dispatching/callers.py
+++ b/packages/daemon/src/sardinerouted/dispatching/callers.py
@@ -4,8 +4,12 @@
 import contextlib
 import select
 import socket
+import ssl
 from collections.abc import Iterator
 
+# Interval of checking a caller that has sent bytes after its request.
+_CHECK_INTERVAL_MS = 300
+
 
 def has_disconnected(caller: socket.socket | None) -> bool:
     """Returns whether a caller has closed its connection."""
@@ -15,10 +19,15 @@
     # would wait for it, and then raise TimeoutError, an OSError.
     poll = select.poll()
     try:
-        poll.register(caller, select.POLLIN)
-        if not poll.poll(0):
-            return False
-        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        poll.register(caller, select.POLLIN | select.POLLRDHUP)
+        for _, events in poll.poll(0):
+            # Set also while bytes that were sent before are unread.
+            if events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+                return True
+            if isinstance(caller, ssl.SSLSocket):
+                return False
+            return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return False
     except BlockingIOError:
         return False
     except (OSError, ValueError):
@@ -37,17 +46,25 @@
         yield disconnected
         return
     descriptor = caller.fileno()
+    timer: asyncio.TimerHandle | None = None
 
     def check() -> None:
+        nonlocal timer
         # Readable bytes may belong to the caller's next request, so they don't
         # mean that it has disconnected. They keep the socket readable, and the
-        # loop would call this function again and again: stop watching here.
+        # loop would call this function again and again.
         loop.remove_reader(descriptor)
-        if has_disconnected(caller) and not disconnected.done():
+        if disconnected.done():
+            return
+        if has_disconnected(caller):
             disconnected.set_result(None)
+        else:
+            timer = loop.call_later(_CHECK_INTERVAL_MS / 1_000, check)
 
     loop.add_reader(descriptor, check)
     try:
         yield disconnected
     finally:
         loop.remove_reader(descriptor)
+        if timer is not None:
+            timer.cancel()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,5 +1,6 @@
 """Tests of the detection of callers that disconnect."""
 
+import asyncio
 import socket
 import time
 from collections.abc import Iterator
@@ -39,6 +40,26 @@
     assert callers.has_disconnected(pair[0])
 
 
+def test_caller_that_sent_more_and_closed_has_disconnected(pair: Pair) -> None:
+    pair[1].send(b"GET / HTTP/1.1\r\n")
+    pair[1].close()
+    assert callers.has_disconnected(pair[0])
+
+
+def test_watched_caller_that_sent_more_and_leaves_is_noticed(
+    pair: Pair,
+) -> None:
+    async def main() -> None:
+        with callers.watch_disconnect(pair[0]) as disconnected:
+            pair[1].send(b"GET / HTTP/1.1\r\n")
+            await asyncio.sleep(0.05)
+            assert not disconnected.done()
+            pair[1].close()
+            await asyncio.wait_for(disconnected, 5.0)
+
+    asyncio.run(main())
+
+
 def test_connection_closed_on_this_side_has_no_caller(pair: Pair) -> None:
     pair[0].close()
     assert callers.has_disconnected(pair[0])
