Take the largest body also while other requests are being received

What callers saw: 503 for a body just within http.max_body_bytes whenever another request was being received, in an entry of the product's own fleet.

A request may have a quarter of what is free, and the requests of others are not free.

Evidence: test_largest_body_is_taken_beside_other_requests fails with 16 MiB (503) and passes.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -128,7 +128,7 @@
     listen_queue: Annotated[int, pydantic.Field(ge=1)] = 512
     max_connections: Annotated[int, pydantic.Field(ge=1)] = 1_024
     max_body_bytes: Annotated[int, pydantic.Field(ge=1)] = 4_194_304
-    max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 16_777_216
+    max_receiving_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 20_971_520
     max_unsent_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 16_777_216
     receive_buffer_bytes: Annotated[int, pydantic.Field(ge=4_096)] = 32_768
     request_timeout_ms: Annotated[int, pydantic.Field(ge=10)] = 10_000
--- a/packages/daemon/src/sardinerouted/web/options.py
+++ b/packages/daemon/src/sardinerouted/web/options.py
@@ -46,7 +46,7 @@
     max_connections: int = 1_024
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    max_receiving_bytes: int = 16_777_216
+    max_receiving_bytes: int = 20_971_520
     max_unsent_bytes: int = 16_777_216
     receive_buffer_bytes: int = 32_768
     request_timeout_ms: int = 10_000
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -226,6 +226,19 @@
     assert connection.receive()[0] == 400
 
 
+def test_largest_body_is_taken_beside_other_requests(start: Start) -> None:
+    server_options = options.Options(LISTEN)
+    server = start(server_options)
+    others = [RawConnection(server) for _ in range(20)]
+    for other in others:
+        other.send("POST /body HTTP/1.1\r\nContent-Length: 5000\r\n\r\nx")
+    largest = RawConnection(server)
+    size = server_options.max_body_bytes
+    largest.send(f"POST /body HTTP/1.1\r\nContent-Length: {size}\r\n\r\n")
+    largest.send("x" * size)
+    assert largest.receive() == (200, str(size))
+
+
 def test_slow_body_is_answered_with_408(start: Start) -> None:
     server = start(options.Options(LISTEN, threads=2, request_timeout_ms=400))
     slow = [RawConnection(server) for _ in range(2)]
