--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -86,22 +86,13 @@
         connection whose caller doesn't take a response is closed.
         """
         super()._expire(threshold)
-        stuck = [
-            item
-            for item in self._selector.connections
-            if item[1] is not self.server and item[1].wfile.overdue
-        ]
-        for descriptor, conn in stuck:
-            self._selector.unregister(descriptor)
-            conn.close()
-        overdue = [
-            item
-            for item in self._selector.connections
-            if item[1] is not self.server and item[1].rfile.overdue
-        ]
-        for descriptor, conn in overdue:
-            self._selector.unregister(descriptor)
-            self.server.process_conn(conn)
+        for descriptor, conn in self._callers():
+            if conn.wfile.overdue:
+                self._selector.unregister(descriptor)
+                conn.close()
+            elif conn.rfile.overdue:
+                self._selector.unregister(descriptor)
+                self.server.process_conn(conn)
 
     def unregister_listener(self) -> None:
         """Stops waiting for new connections."""
@@ -122,6 +113,17 @@
                 time.sleep(_OUT_OF_DESCRIPTORS_PAUSE_MS / 1_000)
             return None
 
+    def _callers(self) -> list[tuple[int, connection.Connection]]:
+        """Returns the descriptors and connections that wait.
+
+        They are in the order in which they began to wait.
+        """
+        return [
+            item
+            for item in self._selector.connections
+            if item[1] is not self.server
+        ]
+
     def _make_room(self) -> bool:
         """Closes connections until there is room; returns whether there is."""
         limit = self.server.options.max_connections
@@ -135,12 +137,7 @@
 
         Returns False if a request is being handled on each connection.
         """
-        # The selector lists connections in the order they began to wait.
-        waiting = [
-            item
-            for item in self._selector.connections
-            if item[1] is not self.server
-        ]
+        waiting = self._callers()
         if not waiting:
             return False
         descriptor, longest_idle = waiting[0]
