Bound the cancels of unknown jobs that an entry passes on

What callers saw: an entry busy with cancels of jobs that nobody had submitted.

Jobs at the entry itself are always cancelled.

Evidence: found by reading; no crowd was measured. tests/test_large_jobs.py plays it with a clock of its own: 25 of 27 cancels are passed on in a second, all were before.

--- a/packages/core/src/sardineroute_core/settings.py
+++ b/packages/core/src/sardineroute_core/settings.py
@@ -316,6 +316,7 @@
     max_dependencies: Annotated[int, pydantic.Field(ge=0)] = 4_096
     max_held_tasks: Annotated[int, pydantic.Field(ge=1)] = 16_384
     max_tasks_at_worker: Annotated[int, pydantic.Field(ge=1)] = 256
+    max_cancels_per_s: Annotated[int, pydantic.Field(ge=1)] = 100
 
 
 class HostedEntry(_Hosted):
--- a/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
+++ b/packages/daemon/src/sardinerouted/dispatching/jobmetrics.py
@@ -28,6 +28,10 @@
     "sardineroute_jobs_refused_for_tasks",
     "Jobs refused because the jobs at the entry have too many tasks.",
 )
+_REFUSED_CANCELS = prometheus_client.Counter(
+    "sardineroute_cancels_refused",
+    "Cancels of jobs unknown here that were refused because of their number.",
+)
 _MOVED = prometheus_client.Counter(
     "sardineroute_tasks_moved",
     "Tasks sent elsewhere because a failure domain was evacuated.",
@@ -39,6 +43,11 @@
     _REFUSED_FOR_TASKS.inc()
 
 
+def count_refused_cancel() -> None:
+    """Counts a cancel that was refused."""
+    _REFUSED_CANCELS.inc()
+
+
 def count_moved() -> None:
     """Counts a task that is sent elsewhere because of an evacuation."""
     _MOVED.inc()
--- a/packages/daemon/src/sardinerouted/dispatching/scheduler.py
+++ b/packages/daemon/src/sardinerouted/dispatching/scheduler.py
@@ -13,6 +13,7 @@
 from sardineroute_core import work
 from sardinerouted import budget
 from sardinerouted.dispatching import callers
+from sardinerouted.dispatching import cancels
 from sardinerouted.dispatching import confinement
 from sardinerouted.dispatching import congestion
 from sardinerouted.dispatching import estimates
@@ -104,6 +105,7 @@
         limits = limits or settings.JobLimits()
         self._clock = time
         self._held_tasks = budget.Budget(limits.max_held_tasks)
+        self._cancel_rate = cancels.CancelRate(time, limits.max_cancels_per_s)
         self._warm_up_until_ms = warm_up_until_ms
         self.routing_table: routing.Table | None = None
         self.stop_ms = _NEVER_MS
@@ -153,14 +155,20 @@
         return finished_state.value if finished_state else None
 
     async def cancel(self, job_id: str) -> None:
-        """Cancels a job, here or at the entry that runs it."""
-        _log.info(
-            "Cancelling job.",
-            job=job_id,
-            known_here=job_id in self._jobs_by_id,
-        )
+        """Cancels a job, here or at the entry that runs it.
+
+        Raises:
+            errors.Error: The job is unknown here, and too many such cancels
+                were passed on lately.
+        """
+        known_here = job_id in self._jobs_by_id
+        may_pass_on = self._cancel_rate.take()
+        if not known_here and not may_pass_on:
+            raise self._cancel_rate.refuse()
+        _log.info("Cancelling job.", job=job_id, known_here=known_here)
         self._cancel_local(job_id)
-        self.fleet.broadcast(runmessages.CancelJob(job_id))
+        if may_pass_on:
+            self.fleet.broadcast(runmessages.CancelJob(job_id))
 
     async def run(
         self,
--- a/tests/test_large_jobs.py
+++ b/tests/test_large_jobs.py
@@ -6,11 +6,14 @@
 
 import fakeworker
 import hostedrig
+from sardineroute_core import clock
+from sardineroute_core import errors
 from sardineroute_core import runmessages
 from sardineroute_core import settings
 from sardineroute_core import work
 from sardinerouted.dispatching import capacity
 from sardinerouted.dispatching import jobs
+from sardinerouted.dispatching import scheduler as schedulers
 
 LOAD = runmessages.Load(0, 0, 64_000, 64_000, 0, (), (), 100, 1_000, 0)
 
@@ -105,3 +108,58 @@
             assert await running == "completed"
 
     asyncio.run(main())
+
+
+class ManualClock(clock.Clock):
+    """A clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.time_ms = 0
+
+    def now_ms(self) -> int:
+        """Returns the time that was set."""
+        return self.time_ms
+
+
+def test_cancels_of_unknown_jobs_are_bounded() -> None:
+    async def main() -> None:
+        time = ManualClock()
+        limits = settings.JobLimits(max_cancels_per_s=5)
+        scheduler = schedulers.Scheduler(time, limits=limits)
+        passed_on: list[object] = []
+        scheduler.fleet.broadcast = passed_on.append  # type: ignore[method-assign]
+        # Four seconds' worth may come at once.
+        for number in range(20):
+            await scheduler.cancel(f"{number}")
+        with pytest.raises(errors.Error, match="too many") as raised:
+            await scheduler.cancel("next")
+        assert raised.value.kind is errors.Kind.OVERLOADED
+        assert raised.value.retry_after_ms
+        time.time_ms += 1_000
+        for number in range(5):
+            await scheduler.cancel(f"later-{number}")
+        with pytest.raises(errors.Error, match="too many"):
+            await scheduler.cancel("next")
+        assert len(passed_on) == 25
+
+    asyncio.run(main())
+
+
+def test_job_at_the_entry_is_cancelled_however_many_others_are() -> None:
+    limits = settings.JobLimits(max_cancels_per_s=1)
+
+    async def main() -> None:
+        worker = fakeworker.FakeWorker(run_ms=5_000)
+        async with hostedrig.fleet(1, [worker], limits=limits) as rig:
+            entry = rig.entries[0]
+            running = asyncio.create_task(
+                entry.submit("job", estimate_ms=5_000)
+            )
+            await rig.wait_until(lambda: rig.running_count() == 2)
+            with pytest.raises(errors.Error, match="too many"):
+                while True:
+                    await entry.scheduler.cancel("unknown")
+            await entry.scheduler.cancel("job")
+            assert await running == "canceled unknown"
+
+    asyncio.run(main())
