Wait for the rest of a request only while no other request is queued

What callers saw: answers delayed by callers that start many requests. Each partial request held a thread for up to 10 ms, so that 400 a second took the whole time of 4 threads.

Cause: a thread waits a little for the rest of a request, which costs less than reading the request again, also while others wait for the thread.

Change: it doesn't wait while a connection is queued.

Evidence: found by reading; test_thread_waits_for_a_request_only_while_no_other_is_queued (the reader couldn't be told of the queue before). No crowd was measured.

--- a/packages/daemon/src/sardinerouted/web/connection.py
+++ b/packages/daemon/src/sardinerouted/web/connection.py
@@ -151,6 +151,7 @@
             options.request_timeout_ms,
             options.max_header_bytes,
             server.receiving,
+            server.has_queued,
             server.clock,
         )
         self.wfile = sockets.Writer(
--- a/packages/daemon/src/sardinerouted/web/server.py
+++ b/packages/daemon/src/sardinerouted/web/server.py
@@ -244,6 +244,10 @@
             refusals.Limit.CONNECTIONS, self.open_count() - 1, limit
         )
 
+    def has_queued(self) -> bool:
+        """Returns whether a connection waits for a thread."""
+        return not self.requests._queue.empty()  # noqa: SLF001
+
     def receiving_bytes(self) -> int:
         """Returns the bytes of requests that are being received or judged."""
         return self.receiving.held
--- a/packages/daemon/src/sardinerouted/web/sockets.py
+++ b/packages/daemon/src/sardinerouted/web/sockets.py
@@ -4,6 +4,7 @@
 import re
 import socket
 import ssl
+from collections.abc import Callable
 
 from sardineroute_core import clock
 from sardinerouted import budget
@@ -67,11 +68,13 @@
         timeout_ms: int,
         max_head_bytes: int,
         receiving: budget.Budget,
+        has_queued: Callable[[], bool],
         time: clock.Clock,
     ) -> None:
         self._socket = connection
         self._timeout_ms = timeout_ms
         self._receiving = receiving
+        self._has_queued = has_queued
         self._clock = time
         self._held_bytes = 0
         self._max_head_bytes = max_head_bytes
@@ -234,9 +237,10 @@
             return False
         limit_bytes = min(limit_bytes, _MAX_READ_BYTES)
         data = self._receive(0, limit_bytes)
-        if data is None and not self.overdue:
+        if data is None and not self.overdue and not self._has_queued():
             # The body usually follows the headers at once, so a short wait
-            # costs less than reading the request again later.
+            # costs less than reading the request again later, unless another
+            # request waits for this thread.
             data = self._receive_within_wait(limit_bytes)
         if data is None and self.overdue:
             # cheroot recognizes timeouts by exactly this text.
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -15,7 +15,9 @@
 import pytest
 from cherrypy import _cpserver
 
+from sardineroute_core import clock
 from sardineroute_core import settings
+from sardinerouted import budget
 from sardinerouted.web import app
 from sardinerouted.web import exchanges
 from sardinerouted.web import options
@@ -226,6 +228,36 @@
     assert connection.receive()[0] == 400
 
 
+@pytest.mark.parametrize("has_queued", [False, True])
+def test_thread_waits_for_a_request_only_while_no_other_is_queued(
+    has_queued: bool,
+) -> None:
+    entry_side, caller_side = socket.socketpair()
+    waits_s: list[float | None] = []
+
+    class Watched(socket.socket):
+        def settimeout(self, value: float | None, /) -> None:
+            waits_s.append(value)
+            super().settimeout(value)
+
+    watched = Watched(fileno=entry_side.detach())
+    reader = sockets.Reader(
+        watched,
+        10_000,
+        16_384,
+        budget.Budget(1_000_000),
+        lambda: has_queued,
+        clock.Clock(),
+    )
+    caller_side.send(b"GET /now HTTP/1.1\r\n")
+    reader.start_request()
+    with pytest.raises(sockets.IncompleteRequest):
+        reader.readline(256)
+    assert any(waits_s) is not has_queued
+    watched.close()
+    caller_side.close()
+
+
 def test_largest_body_is_taken_beside_other_requests(start: Start) -> None:
     server_options = options.Options(LISTEN)
     server = start(server_options)
