--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -71,8 +71,8 @@
     Args:
         record: The record of the case.
         entries: Number of entry machines.
-        runners: Capacity (thousandths of a core) and labels of the runner of
-            each side machine.
+        runners: Capacity (thousandths of a core), labels and, if it isn't 1,
+            speed of the runner of each side machine.
         spare: Number of the last side machines that `add` starts later.
         relayed: Whether sidecars reach the streams of entries by a relay.
 
@@ -85,7 +85,7 @@
         self,
         record: platformside.Record,
         entries: int,
-        runners: list[tuple[int, list[str]]],
+        runners: list[tuple[Any, ...]],
         spare: int = 0,
         relayed: bool = False,
     ) -> None:
@@ -263,7 +263,7 @@
             )
         self._start_process(name)
         if name in self._sides:
-            cpu, labels = self._runner_kinds[self._sides.index(name)]
+            kind = self._runner_kinds[self._sides.index(name)]
             self.runners[name] = platformside.Runner(
                 self.record,
                 name,
@@ -271,8 +271,7 @@
                 (ip, self._ports["control"]),
                 SERVICE,
                 _zone(name),
-                cpu,
-                labels,
+                *kind,
             )
 
     def _start_process(self, name: str) -> None:
--- a/review/standins_3/platformside.py
+++ b/review/standins_3/platformside.py
@@ -208,7 +208,8 @@
 class Runner:
     """A runner that starts what it is told to, with leases and fencing.
 
-    The text of a task is a JSON object; `ms` in it is how long the task runs.
+    The text of a task is a JSON object; `ms` in it is how long the task runs on
+    a runner of speed 1.
 
     Attributes:
         name: Its machine's name, for the record.
@@ -227,6 +228,7 @@
         zone: str,
         cpu: int,
         labels: list[str],
+        speed: float = 1.0,
     ) -> None:
         self._record = record
         self.name = name
@@ -236,6 +238,7 @@
         self._zone = zone
         self._cpu = cpu
         self._labels = labels
+        self._speed = speed
         self._lock = threading.Condition()
         self._life = 0
         self._server: _Server | None = None
@@ -333,7 +336,7 @@
             return 200, {"clockMs": clock_ms}
         if run[1] <= self._closed.get(run[0], 0):
             return 409, {"clockMs": clock_ms, "reason": "old"}
-        run_ms = json.loads(call["spec"])["ms"]
+        run_ms = json.loads(call["spec"])["ms"] / self._speed
         now_ms = self._record.add(self.name, f"{run[0]} run {run[1]} starts")
         row = [run[0], run[1], now_ms, None, ""]
         self.runs.append(row)
