--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -186,14 +186,16 @@
         job: str,
         body: Any = None,
         wait_ms: int = 5_000,
+        kept: http.client.HTTPConnection | None = None,
     ) -> tuple[int, str]:
         """Sends a caller's request to an entry; returns status and body.
 
-        The status is 0 if the connection ended without an answer.
+        It goes over the connection `kept`, or else over a new one. The status
+        is 0 if the connection ended without an answer.
         """
         name = self._edges[entry]
         self.record.add("client", f"{method} {job} to {name}")
-        connection = http.client.HTTPConnection(
+        connection = kept or http.client.HTTPConnection(
             self._ip(name), self._ports["front"], timeout=wait_ms / 1_000
         )
         content = json.dumps(body) if body is not None else None
@@ -207,12 +209,23 @@
         except (OSError, http.client.HTTPException) as error:
             status, text = 0, repr(error)
         finally:
-            connection.close()
+            if connection is not kept:
+                connection.close()
         self.record.add(
             "client", f"{method} {job} answered {status} {text[:100]}"
         )
         return status, text
 
+    def open_connection(self, entry: int) -> http.client.HTTPConnection:
+        """Opens a caller's connection and sends one request over it."""
+        connection = http.client.HTTPConnection(
+            self._ip(self._edges[entry]), self._ports["front"], timeout=10.0
+        )
+        status, _ = self.call(entry, "GET", "", kept=connection)
+        if status != 200:
+            raise NotRun("a connection was not kept open")
+        return connection
+
     def post_later(
         self, entry: int, job: str, body: Any, wait_ms: int
     ) -> threading.Thread:
