--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -148,6 +148,10 @@
         self.record.add("platform", f"{number.name} to {name}")
         self._processes[name].send_signal(number)
 
+    def exit_code(self, name: str) -> int | None:
+        """Returns the exit code of a machine's process; None if it runs."""
+        return self._processes[name].poll()
+
     def restart(self, name: str) -> None:
         """Starts the process of a machine again, as the platform does."""
         self._processes[name].wait(10)
