--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -46,8 +46,11 @@
     """Raised if the case couldn't run, so that nothing is judged."""
 
 
-def configuration(version: int) -> bytes:
-    """Returns the operator's configuration: one queue of one service."""
+def configuration(version: int, removes_route: bool = False) -> bytes:
+    """Returns the operator's configuration: two queues of one service.
+
+    `removes_route` leaves the first one out.
+    """
     route = {
         "name": "r-3hwrr6x",
         "hostname": HOST,
@@ -60,8 +63,10 @@
         "maxAttempts": 4,
         "stretch": 1.6,
     }
+    other = {**route, "name": "r-73d3zji", "pathPrefix": "/pule252/"}
+    routes = [other] if removes_route else [route, other]
     service = {"name": SERVICE, "rejectsOverload": False, "standby": False}
-    document = {"version": version, "routes": [route], "services": [service]}
+    document = {"version": version, "routes": routes, "services": [service]}
     return json.dumps(document).encode()
 
 
@@ -118,6 +123,14 @@
             ),
         )
 
+    def configure(self, version: int, removes_route: bool) -> None:
+        """Writes a configuration to the store, as the operator does."""
+        value = configuration(version, removes_route)
+        self._store.append("keyed.op", "config", value)
+        self.record.add(
+            "operator", f"version {version} is acknowledged by the store"
+        )
+
     def add(self, number: int) -> None:
         """Adds the side machine with this number, with its runner."""
         self._start_machine(self._sides[number])
@@ -393,7 +406,8 @@
     Args:
         record: The record, which gets the verdict.
         runs: Machine and row of each run of the job.
-        acknowledged_ms: When the cancel was answered with success.
+        acknowledged_ms: When the cancel was answered with success, or had
+            waited `ackMs` for its answer: from then on it counts.
         disturbed_ms: When the last disruption ended, a restart included.
     """
     limit_ms = acknowledged_ms + CANCEL_MS
@@ -406,14 +420,14 @@
             record.add(
                 "check",
                 f"UNASKED: {task} run {number} starts on {name} "
-                f"{start_ms - acknowledged_ms} ms after the acknowledgement",
+                f"{start_ms - acknowledged_ms} ms after the cancel counts",
             )
         elif until_ms > max(limit_ms + STOP_TIMEOUT_MS, calm_ms):
             is_broken = True
             record.add(
                 "check",
                 f"UNASKED: {task} run {number} is at work on {name} until "
-                f"{until_ms - acknowledged_ms} ms after the acknowledgement "
+                f"{until_ms - acknowledged_ms} ms after the cancel counts "
                 f"({how or 'still at work'})",
             )
     return is_broken
