--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -16,10 +16,12 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 import tomllib
+import traceback
 from typing import Any
 
 import platformside
@@ -37,6 +39,9 @@
 _PORT_NAMES = ("front", "ready", "control", "stream", "direct", "metrics")
 _STORE_HOST = 250
 _READY_TIMEOUT_S = 25.0
+# A script may run for 120 s.
+_MAX_PLAY_S = 100
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM)
 _EXIT_BROKEN = 1
 _EXIT_HELD = 0
 _EXIT_NOT_RUN = 2
@@ -257,16 +262,21 @@
 
     def close(self) -> None:
         """Ends all processes and stand-ins that were started."""
+        # A signal must not interrupt this.
+        for one in _STOP_SIGNALS:
+            signal.signal(one, signal.SIG_IGN)
         for process in self._processes.values():
             with contextlib.suppress(OSError):
-                process.send_signal(signal.SIGCONT)
-            process.kill()
+                # A process that is stopped can be killed too.
+                process.kill()
+        for process in self._processes.values():
             process.wait()
-        for runner in self.runners.values():
-            runner.close()
-        for one in self.relays:
-            one.close()
-        self._store.close()
+        self.record.add(
+            "script", f"{len(self._processes)} processes have ended"
+        )
+        for standin in (*self.runners.values(), *self.relays, self._store):
+            with contextlib.suppress(OSError):
+                standin.close()
         shutil.rmtree(self._folder, ignore_errors=True)
 
     def output(self, name: str) -> str:
@@ -433,24 +443,40 @@
     return is_broken
 
 
-def run_case(folder: pathlib.Path, play: Any) -> int:
+def run_case(record_path: pathlib.Path, play: Any) -> int:
     """Plays a case, writes its record and returns the exit code.
 
+    `TROUBLE=0` in the environment leaves the disruption out. Whatever keeps the
+    case from running, a signal or a fault of the script included, is exit code
+    2 and never 1, which says that the rule was broken.
+
     Args:
-        folder: The folder of the case.
+        record_path: The `record.txt` of the case.
         play: Called with the record and whether the disruption is to happen;
-            returns whether the rule was broken.
+            ends what it has started, and returns whether the rule was broken.
     """
-    record = platformside.Record()
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    try:
+        record = platformside.Record(record_path)
+    except OSError as error:
+        print(f"the record can't be written: {error}", file=sys.stderr)
+        return _EXIT_NOT_RUN
     record.add("script", f"TROUBLE={int(trouble)}")
+
+    def stop(number: int, _: Any) -> None:
+        raise NotRun(f"stopped by {signal.Signals(number).name}")
+
+    for one in _STOP_SIGNALS:
+        signal.signal(one, stop)
+    signal.alarm(_MAX_PLAY_S)
     code = _EXIT_NOT_RUN
     try:
         code = _EXIT_BROKEN if play(record, trouble) else _EXIT_HELD
-    except (NotRun, OSError) as error:
+    except Exception as error:  # noqa: BLE001 - the exit code tells of it
         record.add("script", f"the case couldn't run: {error!r}")
+        traceback.print_exc()
+    signal.alarm(0)
     record.add("script", f"exit code {code}")
-    (folder / "record.txt").write_text("\n".join(record.lines) + "\n")
     return code
 
 
--- a/review/standins_3/platformside.py
+++ b/review/standins_3/platformside.py
@@ -8,6 +8,7 @@
 import http.client
 import http.server
 import json
+import pathlib
 import socket
 import sys
 import threading
@@ -25,12 +26,19 @@
 
 
 class Record:
-    """The lines of `record.txt`: what was sent, answered and run."""
+    """The file `record.txt`: what was sent, answered and run.
 
-    def __init__(self) -> None:
+    Each line is written at once, so that a script that is stopped leaves its
+    record too.
+
+    Args:
+        path: The file; an earlier one is replaced.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
         self._start_s = time.monotonic()
         self._lock = threading.Lock()
-        self.lines: list[str] = []
+        self._file = path.open("w", encoding="utf-8")
 
     def now_ms(self) -> int:
         """Returns the time in ms since the start of the script."""
@@ -40,7 +48,8 @@
         """Adds a line; returns its time in ms."""
         with self._lock:
             now_ms = self.now_ms()
-            self.lines.append(f"{now_ms:7d} ms  {who:12s} {text}")
+            print(f"{now_ms:7d} ms  {who:12s} {text}", file=self._file)
+            self._file.flush()
             return now_ms
 
 
